--- /dev/null
+++ b/core/container/doc.go
@@ -0,0 +1,9 @@
+// Package container holds the small generic values that the other packages share.
+//
+// # Usage
+//
+//	live := container.NewSet("p1", "p2")
+//	live.Add("p3")
+//	first := container.Some(5)
+//	value, found := first.Get()
+package container
--- /dev/null
+++ b/core/container/set.go
@@ -0,0 +1,42 @@
+package container
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Set is an unordered collection of distinct values. A nil Set can be read but not added to.
+type Set[T comparable] map[T]struct{}
+
+// NewSet returns a set of the given values.
+func NewSet[T comparable](values ...T) Set[T] {
+	set := make(Set[T], len(values))
+	for _, value := range values {
+		set.Add(value)
+	}
+
+	return set
+}
+
+// Add puts a value into the set.
+func (s Set[T]) Add(value T) {
+	s[value] = struct{}{}
+}
+
+// Remove takes a value out of the set.
+func (s Set[T]) Remove(value T) {
+	delete(s, value)
+}
+
+// Has reports whether the set holds a value.
+func (s Set[T]) Has(value T) bool {
+	_, found := s[value]
+
+	return found
+}
+
+// Sorted returns the values of a set in ascending order.
+func Sorted[T cmp.Ordered](set Set[T]) []T {
+	return slices.Sorted(maps.Keys(set))
+}
--- /dev/null
+++ b/core/position/token.go
@@ -0,0 +1,130 @@
+package position
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// ErrToken is wrapped by every error about a damaged token.
+var ErrToken = errors.New("session token is damaged")
+
+const (
+	// maxTokenBytes bounds the text of a token that a caller may send.
+	maxTokenBytes = 16 << 10
+	// checksumBytes is the size of the CRC-32C in front of a token's text.
+	checksumBytes = 4
+	// tokenFields is the number of fields of each part of a token: group, term, LSN.
+	tokenFields = 3
+)
+
+//nolint:gochecknoglobals // The table is constant.
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Token holds a session's position in each group that it used. The zero Token is empty and ready to use.
+// It is not safe for concurrent use.
+type Token struct {
+	positions map[string]Position
+}
+
+// Floor returns the position that reads of a group must cover, and whether the token names the group.
+func (t *Token) Floor(group string) (Position, bool) {
+	floor, found := t.positions[group]
+
+	return floor, found
+}
+
+// Raise moves the floor of a group forward. A position behind the present floor changes nothing.
+func (t *Token) Raise(group string, to Position) {
+	if t.positions == nil {
+		t.positions = make(map[string]Position)
+	}
+
+	if present, found := t.positions[group]; !found || present.Less(to) {
+		t.positions[group] = to
+	}
+}
+
+// Merge raises every floor to that of another token.
+func (t *Token) Merge(other Token) {
+	for group, floor := range other.positions {
+		t.Raise(group, floor)
+	}
+}
+
+// String returns the text form: base64url of a CRC-32C followed by GROUP:TERM:LSN parts separated by commas.
+func (t *Token) String() string {
+	parts := make([]string, 0, len(t.positions))
+	for group, floor := range t.positions {
+		parts = append(parts, group+":"+strconv.FormatUint(uint64(floor.Term), 10)+":"+
+			strconv.FormatUint(uint64(floor.LSN), 10))
+	}
+
+	slices.Sort(parts)
+
+	body := []byte(strings.Join(parts, ","))
+	raw := binary.BigEndian.AppendUint32(nil, crc32.Checksum(body, castagnoli))
+
+	return base64.RawURLEncoding.EncodeToString(append(raw, body...))
+}
+
+// ParseToken reads the text form that Token.String writes. The empty text is the empty token.
+func ParseToken(text string) (Token, error) {
+	if text == "" {
+		return Token{}, nil
+	}
+
+	if len(text) > maxTokenBytes {
+		return Token{}, fmt.Errorf("%w: %d bytes, at most %d are allowed", ErrToken, len(text), maxTokenBytes)
+	}
+
+	raw, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil {
+		return Token{}, fmt.Errorf("%w: %w", ErrToken, err)
+	}
+
+	if len(raw) < checksumBytes {
+		return Token{}, fmt.Errorf("%w: %d bytes are too short", ErrToken, len(raw))
+	}
+
+	body := raw[checksumBytes:]
+	if binary.BigEndian.Uint32(raw) != crc32.Checksum(body, castagnoli) {
+		return Token{}, fmt.Errorf("%w: checksum does not match", ErrToken)
+	}
+
+	return parseBody(string(body))
+}
+
+func parseBody(body string) (Token, error) {
+	var token Token
+
+	if body == "" {
+		return token, nil
+	}
+
+	for part := range strings.SplitSeq(body, ",") {
+		fields := strings.Split(part, ":")
+		if len(fields) != tokenFields {
+			return Token{}, fmt.Errorf("%w: part %q is not GROUP:TERM:LSN", ErrToken, part)
+		}
+
+		term, err := strconv.ParseUint(fields[1], 10, 64)
+		if err != nil {
+			return Token{}, fmt.Errorf("%w: term of part %q: %w", ErrToken, part, err)
+		}
+
+		lsn, err := strconv.ParseUint(fields[2], 10, 64)
+		if err != nil {
+			return Token{}, fmt.Errorf("%w: position of part %q: %w", ErrToken, part, err)
+		}
+
+		token.Raise(fields[0], Position{Term: Term(term), LSN: LSN(lsn)})
+	}
+
+	return token, nil
+}
--- /dev/null
+++ b/core/registry/view.go
@@ -0,0 +1,80 @@
+package registry
+
+import (
+	"net/netip"
+
+	"almondgrade/core/position"
+	"almondgrade/core/settings"
+)
+
+// View is an immutable picture of the replicated state. It is replaced, never changed, so that the path of a
+// request reads it without locks.
+type View struct {
+	// Version is the index of the control log that the view reflects.
+	Version uint64
+	// Configuration is the number of the running configuration.
+	Configuration uint64
+	Running       settings.Running
+	Groups        map[string]Group
+	Servers       map[string]Server
+	Proxies       map[string]Proxy
+}
+
+// Phase is the stage of a group's failover.
+type Phase string
+
+// The phases of a group.
+const (
+	PhaseStable    Phase = "stable"
+	PhaseFencing   Phase = "fencing"
+	PhasePromoting Phase = "promoting"
+)
+
+// Group is a database group: one primary and its replicas.
+type Group struct {
+	Name string
+	Term position.Term
+	// Primary is the name of the primary of Term. It is empty before the first primary announced itself.
+	Primary string
+	History position.History
+	Phase   Phase
+	// Candidate is the server that is being promoted to Term+1.
+	Candidate string
+	// Coordinator is the proxy that coordinates the group, in the given epoch.
+	Coordinator string
+	Epoch       uint64
+	// Members are the servers that quorums count.
+	Members []string
+	// Previous are the members before the last change, while it is not in force everywhere.
+	Previous []string
+}
+
+// Server is a backend server that announced itself.
+type Server struct {
+	Name    string
+	Group   string
+	Address netip.AddrPort
+	// Identity names the server's data. It changes when the server loses its disk.
+	Identity string
+	// Incarnation grows with each start of the server, Sequence with each of its announcements.
+	Incarnation uint64
+	Sequence    uint64
+	Slots       int
+	Connections int
+	Centre      string
+	Leaving     bool
+	// Recovery is true while the server is a replica.
+	Recovery bool
+}
+
+// Proxy is a proxy process that joined.
+type Proxy struct {
+	Name string
+	// Instance is drawn at random when the process starts.
+	Instance uint64
+	// Number is unique among the proxies and part of cancel keys.
+	Number   uint32
+	Peer     netip.AddrPort
+	Centre   string
+	Draining bool
+}
--- /dev/null
+++ b/core/result/error.go
@@ -0,0 +1,41 @@
+package result
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// Error is an outcome with its code and the reason in words.
+type Error struct {
+	Code   Code
+	Reason string
+	cause  error
+}
+
+// New returns an error with a formatted reason. A %w verb keeps the cause.
+func New(code Code, format string, args ...any) *Error {
+	formatted := fmt.Errorf(format, args...)
+
+	return &Error{Code: code, Reason: formatted.Error(), cause: errors.Unwrap(formatted)}
+}
+
+// Error implements error. The text begins with the code, as "AG1302: ...".
+func (e *Error) Error() string {
+	return "AG" + strconv.FormatUint(uint64(e.Code), 10) + ": " + e.Reason
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.cause
+}
+
+// CodeOf returns the code of an error, or OK if it carries none.
+func CodeOf(err error) Code {
+	var failure *Error
+	if errors.As(err, &failure) {
+		return failure.Code
+	}
+
+	return OK
+}
--- /dev/null
+++ b/core/timer/service.go
@@ -0,0 +1,78 @@
+package timer
+
+import (
+	"sync"
+	"time"
+)
+
+// Stop ends a subscription. A call that has begun is not interrupted. It may be called more than once.
+type Stop func()
+
+// Service tells the time and calls subscribers. Implementations are safe for concurrent use.
+type Service interface {
+	// Now returns the present time with a monotonic reading.
+	Now() time.Time
+	// Every calls a function each interval, one call at a time. Intervals that pass during a call are skipped.
+	Every(interval time.Duration, call func(now time.Time)) Stop
+	// After calls a function once.
+	After(delay time.Duration, call func(now time.Time)) Stop
+	// Close ends all subscriptions.
+	Close()
+}
+
+// Clock is the Service of a running process.
+type Clock struct {
+	done chan struct{}
+	once sync.Once
+}
+
+// New returns a service on the process's monotonic clock.
+func New() *Clock {
+	return &Clock{done: make(chan struct{})}
+}
+
+// Now implements Service.
+func (c *Clock) Now() time.Time {
+	return time.Now()
+}
+
+// Every implements Service.
+func (c *Clock) Every(interval time.Duration, call func(now time.Time)) Stop {
+	ticker := time.NewTicker(interval)
+	stopped := make(chan struct{})
+
+	go func() {
+		defer ticker.Stop()
+
+		for {
+			select {
+			case <-c.done:
+				return
+			case <-stopped:
+				return
+			case now := <-ticker.C:
+				call(now)
+			}
+		}
+	}()
+
+	return sync.OnceFunc(func() { close(stopped) })
+}
+
+// After implements Service.
+func (c *Clock) After(delay time.Duration, call func(now time.Time)) Stop {
+	timer := time.AfterFunc(delay, func() {
+		select {
+		case <-c.done:
+		default:
+			call(time.Now())
+		}
+	})
+
+	return func() { timer.Stop() }
+}
+
+// Close implements Service.
+func (c *Clock) Close() {
+	c.once.Do(func() { close(c.done) })
+}
