core/settings: load, merge and check settings files

The process needs its settings before anything else runs. Decoding straight into the Go types was ruled out: encoding/json stops at the first fault and accepts keys in any letter case.

Settings gain tokens.operator and tokens.platform, the files of bearer tokens.

--- a/cmd/almondgrade/main.go
+++ b/cmd/almondgrade/main.go
@@ -1,4 +1,108 @@
-// Command almondgrade is the database proxy and its control process.
+// Command almondgrade is the database proxy, its control process and the tool of its operators.
+//
+// Each subcommand explains itself with --help. The exit codes are those of the Exit constants.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"almondgrade/core/result"
+	"almondgrade/core/settings"
+)
+
+// The exit codes of every subcommand.
+const (
+	// ExitOK means that the command did what it was asked.
+	ExitOK = 0
+	// ExitFaults means that settings have faults. Nothing was changed.
+	ExitFaults = 1
+	// ExitUsage means that the command line is wrong.
+	ExitUsage = 2
+	// ExitRefused means that the system answered and refused, with a result code.
+	ExitRefused = 3
+	// ExitUnknown means that no answer came. A change may have been accepted; send it again with the same id.
+	ExitUnknown = 4
+	// ExitFailed means that a process or a file operation failed.
+	ExitFailed = 5
+)
+
+// console is where a command writes its output.
+type console struct {
+	out io.Writer
+}
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run parses and executes a command line and returns the exit code.
+func run(args []string, stdout, stderr io.Writer) int {
+	parser := flags.NewNamedParser("almondgrade", flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = "database proxy with session consistency"
+	parser.LongDescription = "Exit codes: 0 done, 1 faults in settings, 2 wrong command line, 3 refused with a " +
+		"result code, 4 no answer and the outcome is unknown, 5 a process or file operation failed."
+
+	for _, add := range []func(*flags.Parser, console) error{addCheck} {
+		if err := add(parser, console{out: stdout}); err != nil {
+			_, _ = fmt.Fprintln(stderr, err)
+
+			return ExitFailed
+		}
+	}
+
+	_, err := parser.ParseArgs(args)
+
+	return report(err, stdout, stderr)
+}
+
+// addCommand adds a subcommand whose long description ends with a working example.
+func addCommand(parser *flags.Parser, name, short, long string, command any) error {
+	if _, err := parser.AddCommand(name, short, long, command); err != nil {
+		return fmt.Errorf("subcommand %s: %w", name, err)
+	}
+
+	return nil
+}
+
+// report writes an error and returns the exit code that belongs to it.
+func report(err error, stdout, stderr io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+
+	var usage *flags.Error
+	if errors.As(err, &usage) {
+		if usage.Type == flags.ErrHelp {
+			_, _ = fmt.Fprintln(stdout, usage.Message)
+
+			return ExitOK
+		}
+
+		_, _ = fmt.Fprintln(stderr, usage.Message)
+
+		return ExitUsage
+	}
+
+	_, _ = fmt.Fprintln(stderr, err)
+
+	var faults settings.Faults
+
+	switch {
+	case errors.As(err, &faults):
+		return ExitFaults
+	case errors.Is(err, errNoAnswer):
+		return ExitUnknown
+	case result.CodeOf(err) != result.OK:
+		return ExitRefused
+	default:
+		return ExitFailed
+	}
+}
+
+// errNoAnswer is wrapped by errors of requests that got no answer.
+var errNoAnswer = errors.New("no answer; the outcome is unknown")
--- /dev/null
+++ b/core/settings/difference.go
@@ -0,0 +1,92 @@
+package settings
+
+import "strings"
+
+// Difference describes how the second configuration differs from the first, one line for each JSON path:
+// "+ path: new", "- path: old" or "~ path: old -> new". It is empty if both are equal. Secrets are hidden.
+func Difference(before, after Running) string {
+	before, after = before.filled(), after.filled()
+	old, present := flatten(before), flatten(after)
+	paths := make(map[string]bool, len(old)+len(present))
+
+	for name := range old {
+		paths[name] = true
+	}
+
+	for name := range present {
+		paths[name] = true
+	}
+
+	var lines strings.Builder
+
+	for _, name := range sortedKeys(paths) {
+		was, had := old[name]
+		is, has := present[name]
+
+		switch {
+		case !had:
+			lines.WriteString("+ " + name + ": " + is + "\n")
+		case !has:
+			lines.WriteString("- " + name + ": " + was + "\n")
+		case was != is:
+			lines.WriteString("~ " + name + ": " + was + " -> " + is + "\n")
+		case hiddenDiffers(name, before, after):
+			lines.WriteString("~ " + name + ": " + was + " -> (another secret)\n")
+		}
+	}
+
+	return lines.String()
+}
+
+// hiddenDiffers reports whether the path is a user's verifier that differs although both texts are hidden.
+func hiddenDiffers(name string, before, after Running) bool {
+	for user := range before.Users {
+		at := (*path)(nil).at("users", user, "verifier")
+		if at.text == name {
+			return before.Users[user] != after.Users[user]
+		}
+	}
+
+	return false
+}
+
+// filled returns a copy with defaults filled in.
+func (r Running) filled() Running {
+	copied, faults := r, Faults(nil)
+	checked := newChecker(origins{})
+
+	root, faults := parse(Source{Data: compact(r)})
+	if len(faults) == 0 {
+		copied = Running{}
+		checked.decode(root, &copied)
+	}
+
+	copied.fill()
+
+	return copied
+}
+
+// flatten returns the values of a document by JSON path, secrets hidden. Empty lists and objects count as values.
+func flatten(document any) map[string]string {
+	flat := map[string]string{}
+
+	if root, _ := parse(Source{Data: compact(document)}); root != nil {
+		root.withoutSecrets().flattenInto(flat, nil)
+	}
+
+	return flat
+}
+
+func (n *node) flattenInto(flat map[string]string, at *path) {
+	for name, member := range n.members {
+		member.flattenInto(flat, at.key(name))
+	}
+
+	for i, item := range n.items {
+		item.flattenInto(flat, at.index(i))
+	}
+
+	if len(n.members) == 0 && len(n.items) == 0 {
+		flat[at.String()] = n.fullText()
+	}
+}
--- /dev/null
+++ b/core/settings/load.go
@@ -0,0 +1,214 @@
+package settings
+
+import (
+	"encoding/json"
+	"os"
+	"reflect"
+)
+
+// maxFileBytes bounds one settings file or change.
+const maxFileBytes = 16 << 20
+
+// Loaded is the merged and checked result of settings files. It is immutable.
+type Loaded struct {
+	Settings Settings
+	// Files are the files in the order in which they were merged.
+	Files []string
+	// Merged is the merged document without defaults.
+	Merged  []byte
+	origins origins
+}
+
+// Load reads a base file and overlays, merges and checks them. The error is Faults with everything that is wrong.
+func Load(base string, overlays ...string) (*Loaded, error) {
+	var faults Faults
+
+	files := append([]string{base}, overlays...)
+	sources := make([]Source, 0, len(files))
+
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			faults = append(faults, Fault{File: file, Allowed: err.Error()})
+
+			continue
+		}
+
+		sources = append(sources, Source{Name: file, Data: data})
+	}
+
+	if len(faults) > 0 {
+		return nil, faults
+	}
+
+	return Parse(sources[0], sources[1:]...)
+}
+
+// Parse merges and checks the contents of settings files like Load.
+func Parse(base Source, overlays ...Source) (*Loaded, error) {
+	loaded, checked, faults := mergeSources(append([]Source{base}, overlays...))
+	if len(faults) > 0 {
+		return nil, faults
+	}
+
+	root, faults := parse(Source{Name: "merged", Data: loaded.Merged})
+	if len(faults) > 0 {
+		return nil, faults
+	}
+
+	loaded.Settings.Running = Defaults()
+
+	kept := checked.shape(root, reflect.TypeFor[Settings](), nil)
+	checked.decode(kept, &loaded.Settings)
+	loaded.Settings.fill()
+	checked.settings(&loaded.Settings)
+
+	if err := checked.faults.err(); err != nil {
+		return nil, err
+	}
+
+	return loaded, nil
+}
+
+// mergeSources merges documents that can be read, and reports those that can't.
+func mergeSources(sources []Source) (*Loaded, *checker, Faults) {
+	var faults Faults
+
+	loaded := &Loaded{origins: origins{}}
+	trees := make([]*node, 0, len(sources))
+
+	for _, source := range sources {
+		tree, found := readSource(source)
+		faults = append(faults, found...)
+		trees = append(trees, tree)
+		loaded.Files = append(loaded.Files, source.Name)
+	}
+
+	if len(faults) > 0 {
+		return nil, nil, faults
+	}
+
+	checked := newChecker(loaded.origins)
+	present := trees[0]
+	loaded.origins.put(sources[0].Name, present, nil)
+	loaded.Merged = sources[0].Data
+
+	for i, tree := range trees[1:] {
+		source := sources[i+1]
+		checked.faults = append(checked.faults, checkFormatKept(trees[0], tree, source.Name)...)
+		checked.faults = append(checked.faults, unknownRemovals(source.Name, tree, reflect.TypeFor[Settings](), nil)...)
+		present = loaded.origins.overlay(source.Name, present, tree, nil)
+
+		merged, err := Merge(loaded.Merged, source.Data)
+		if err != nil {
+			return nil, nil, Faults{{File: source.Name, Allowed: "not a merge patch: " + err.Error()}}
+		}
+
+		loaded.Merged = merged
+	}
+
+	return loaded, checked, nil
+}
+
+func readSource(source Source) (*node, Faults) {
+	if len(source.Data) > maxFileBytes {
+		return nil, Faults{{File: source.Name, Allowed: "the file is longer than 16 MiB"}}
+	}
+
+	tree, faults := parse(source)
+	if tree != nil && tree.members == nil {
+		faults = append(faults, Fault{File: source.Name, Line: tree.line, Value: tree.text(),
+			Allowed: "want an object"})
+	}
+
+	return tree, faults
+}
+
+// unknownRemovals reports null values under unknown keys. A merge drops them, so the merged document doesn't show
+// a misspelt key in an overlay that was meant to remove a value.
+func unknownRemovals(file string, value *node, want reflect.Type, at *path) Faults {
+	var faults Faults
+
+	for _, name := range sortedKeys(value.members) {
+		member, inner := value.members[name], want
+
+		switch {
+		case want.Kind() == reflect.Map:
+			inner = want.Elem()
+		case want.Kind() == reflect.Struct:
+			field, found := fieldNamed(want, name)
+			if !found {
+				if member.null() {
+					faults = append(faults, Fault{File: file, Line: member.line, Path: at.key(name).String(),
+						Value: "null", Allowed: "unknown key"})
+				}
+
+				continue
+			}
+
+			inner = field.Type
+		default:
+			continue
+		}
+
+		faults = append(faults, unknownRemovals(file, member, inner, at.key(name))...)
+	}
+
+	return faults
+}
+
+// decode stores a document that shape has accepted.
+func (c *checker) decode(kept *node, into any) {
+	if kept == nil {
+		return
+	}
+
+	if err := json.Unmarshal(compact(kept), into); err != nil {
+		c.fault(nil, "", "%v", err)
+	}
+}
+
+// CheckRunning reads and checks a whole running configuration, as a change carries it. Fields that it leaves out
+// take their defaults. The configuration is meaningless if there are faults.
+func CheckRunning(data []byte) (Running, Faults) {
+	running := Defaults()
+
+	root, faults := readSource(Source{Data: data})
+	if len(faults) > 0 {
+		return running, faults
+	}
+
+	checked := newChecker(origins{})
+	checked.origins.put("", root, nil)
+
+	kept := checked.shape(root, reflect.TypeFor[Running](), nil)
+	checked.decode(kept, &running)
+	running.fill()
+	checked.running(&running, nil)
+
+	return running, checked.faults
+}
+
+// Value is one value of the merged settings, defaults included.
+type Value struct {
+	Path   string
+	Text   string
+	Origin Origin
+}
+
+// Values returns every value with its origin, in order of path. Secrets are hidden.
+func (l *Loaded) Values() []Value {
+	flat := flatten(l.Settings)
+	values := make([]Value, 0, len(flat))
+
+	for _, name := range sortedKeys(flat) {
+		values = append(values, Value{Path: name, Text: flat[name], Origin: l.origins[name]})
+	}
+
+	return values
+}
+
+// Origin returns where the value at a JSON path was set.
+func (l *Loaded) Origin(path string) Origin {
+	return l.origins[path]
+}
--- /dev/null
+++ b/core/settings/merge.go
@@ -0,0 +1,146 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+)
+
+// Source is the content of one settings file.
+type Source struct {
+	Name string
+	Data []byte
+}
+
+// Origin says where a value was set. The zero Origin stands for a default.
+type Origin struct {
+	File string
+	Line int
+}
+
+// String returns the origin as FILE:LINE, or "default".
+func (o Origin) String() string {
+	if o.File == "" {
+		return "default"
+	}
+
+	return fmt.Sprintf("%s:%d", o.File, o.Line)
+}
+
+// Merge merges overlays into a base document by JSON merge patch (RFC 7396), in the order in which they are
+// given. Every document must be a JSON object without null elements in its lists.
+func Merge(base []byte, overlays ...[]byte) ([]byte, error) {
+	merged := base
+
+	for i, overlay := range overlays {
+		var err error
+
+		merged, err = jsonpatch.MergePatch(merged, overlay)
+		if err != nil {
+			return nil, fmt.Errorf("overlay %d: %w", i+1, err)
+		}
+	}
+
+	return merged, nil
+}
+
+// origins maps the paths of a merged document to the file that set them.
+type origins map[string]Origin
+
+// near returns the origin of a path or of the closest enclosing value.
+func (o origins) near(at *path) Origin {
+	for ; at != nil; at = at.up {
+		if found, known := o[at.text]; known {
+			return found
+		}
+	}
+
+	return o[""]
+}
+
+// put records that a file sets a whole value. A merge patch that puts an object where none was drops the object's
+// null members.
+func (o origins) put(file string, value *node, at *path) {
+	o[at.String()] = Origin{File: file, Line: value.line}
+
+	for name, member := range value.members {
+		if !member.null() {
+			o.put(file, member, at.key(name))
+		}
+	}
+
+	for i, item := range value.items {
+		o.put(file, item, at.index(i))
+	}
+}
+
+// remove forgets a value and everything in it.
+func (o origins) remove(value *node, at *path) {
+	delete(o, at.String())
+
+	for name, member := range value.members {
+		o.remove(member, at.key(name))
+	}
+
+	for i, item := range value.items {
+		o.remove(item, at.index(i))
+	}
+}
+
+// overlay records that a file is merged over the present document, and returns the merged document.
+func (o origins) overlay(file string, present, patch *node, at *path) *node {
+	if present == nil || patch.members == nil || present.members == nil {
+		if present != nil {
+			o.remove(present, at)
+		}
+
+		o.put(file, patch, at)
+
+		return patch
+	}
+
+	merged := &node{line: present.line, members: make(map[string]*node, len(present.members))}
+	for name, member := range present.members {
+		merged.members[name] = member
+	}
+
+	for name, member := range patch.members {
+		inner := at.key(name)
+
+		switch before := merged.members[name]; {
+		case !member.null():
+			merged.members[name] = o.overlay(file, before, member, inner)
+		case before != nil:
+			o.remove(before, inner)
+			delete(merged.members, name)
+		}
+	}
+
+	return merged
+}
+
+// checkFormatKept reports an overlay that changes the format of the base.
+func checkFormatKept(base, overlay *node, file string) Faults {
+	changed, found := overlay.members["format"]
+	if !found {
+		return nil
+	}
+
+	if kept, known := base.members["format"]; known && kept.text() == changed.text() {
+		return nil
+	}
+
+	return Faults{{File: file, Line: changed.line, Path: "format", Value: changed.text(),
+		Allowed: "an overlay may not change the format of the base file"}}
+}
+
+// compact returns a document without insignificant space.
+func compact(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return nil
+	}
+
+	return data
+}
--- /dev/null
+++ b/core/settings/path.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"regexp"
+	"strconv"
+)
+
+// plainKey matches keys that a path holds without quotes.
+var plainKey = regexp.MustCompile(`^[A-Za-z_][A-Za-z0-9_-]*$`)
+
+// path is a JSON path in its text form together with the path of the enclosing value. The nil path is the root.
+type path struct {
+	text string
+	up   *path
+}
+
+func (p *path) String() string {
+	if p == nil {
+		return ""
+	}
+
+	return p.text
+}
+
+// key returns the path of a member of an object.
+func (p *path) key(name string) *path {
+	switch {
+	case !plainKey.MatchString(name):
+		return &path{text: p.String() + "[" + strconv.Quote(name) + "]", up: p}
+	case p == nil:
+		return &path{text: name}
+	default:
+		return &path{text: p.text + "." + name, up: p}
+	}
+}
+
+// index returns the path of an element of an array.
+func (p *path) index(i int) *path {
+	return &path{text: p.String() + "[" + strconv.Itoa(i) + "]", up: p}
+}
+
+// at returns the path of nested keys.
+func (p *path) at(names ...string) *path {
+	for _, name := range names {
+		p = p.key(name)
+	}
+
+	return p
+}
--- a/core/settings/running.go
+++ b/core/settings/running.go
@@ -14,7 +14,7 @@
 // Pool is a set of database groups under one name, with rules for their traffic.
 type Pool struct {
 	Groups []string `json:"groups"`
-	// Database is the name of the database on the backend servers.
+	// Database is the name of the database on the backend servers. Empty means the name of the pool.
 	Database string `json:"database"`
 	// Traffic is tried in order; the first rule that matches applies. A request that matches none is routine
 	// and reads fresh data.
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -5,6 +5,9 @@
 // Format is the only value of Settings.Format that this version reads.
 const Format = 1
 
+// OpenWords is the value of VM.Open that lets listeners off loopback run without authentication.
+const OpenWords = "listen without authentication"
+
 // Settings is everything that a process learns from its files.
 type Settings struct {
 	Format int    `json:"format"`
@@ -13,6 +16,7 @@
 	// Control lists the control processes of a new system; later members are learned from the log.
 	Control []ControlMember `json:"control"`
 	TLS     TLS             `json:"tls"`
+	Tokens  Tokens          `json:"tokens"`
 	Log     Log             `json:"log"`
 	Running Running         `json:"running"`
 }
@@ -33,8 +37,7 @@
 	Control netip.AddrPort `json:"control"`
 	// Data is the data folder of a control process.
 	Data string `json:"data"`
-	// Open says that listeners off loopback may run without authentication; the only allowed value is
-	// "listen without authentication".
+	// Open says that listeners off loopback may run without authentication; the only allowed value is OpenWords.
 	Open string `json:"open"`
 	// CallerLimit bounds the caller connections of a proxy.
 	CallerLimit int `json:"caller_limit"`
@@ -57,6 +60,14 @@
 	ReloadSeconds int    `json:"reload_seconds"`
 }
 
+// Tokens names the files of bearer tokens. Empty fields turn tokens off for that listener.
+type Tokens struct {
+	// Operator is the file of the token that operators present.
+	Operator string `json:"operator"`
+	// Platform is the file of the token that announcements of backend servers present.
+	Platform string `json:"platform"`
+}
+
 // Log chooses the form of log lines.
 type Log struct {
 	// Format is "text" or "json".
--- /dev/null
+++ b/core/settings/shape.go
@@ -0,0 +1,261 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// secretKeys are keys whose values are never shown.
+//
+//nolint:gochecknoglobals // The list is constant.
+var secretKeys = []string{"verifier"}
+
+// hidden is shown in place of a secret.
+const hidden = "(hidden)"
+
+// checker collects the faults of one merged document.
+type checker struct {
+	origins origins
+	faults  Faults
+	// faulty holds the paths that have a fault, so that a value that was dropped is not reported as missing.
+	faulty map[string]bool
+}
+
+func newChecker(from origins) *checker {
+	return &checker{origins: from, faulty: make(map[string]bool)}
+}
+
+// fault reports a value. An empty text means that the value is missing.
+func (c *checker) fault(at *path, value, format string, args ...any) {
+	for up := at; up != nil; up = up.up {
+		if c.faulty[up.text] {
+			return
+		}
+	}
+
+	c.faulty[at.String()] = true
+	origin := c.origins.near(at)
+
+	if value != "" && secretAt(at) {
+		value = hidden
+	}
+
+	c.faults = append(c.faults, Fault{File: origin.File, Line: origin.Line, Path: at.String(), Value: value,
+		Allowed: fmt.Sprintf(format, args...)})
+}
+
+func secretAt(at *path) bool {
+	return at != nil && slices.ContainsFunc(secretKeys, func(key string) bool {
+		return at.text == key || strings.HasSuffix(at.text, "."+key)
+	})
+}
+
+//nolint:gochecknoglobals // The types are constant.
+var (
+	durationType = reflect.TypeFor[Duration]()
+	addressType  = reflect.TypeFor[netip.AddrPort]()
+)
+
+// shape compares a document with a Go type. It reports unknown keys, wrong types and wrong units, and returns the
+// document without the faulty values. The result is nil if nothing is left.
+func (c *checker) shape(value *node, want reflect.Type, at *path) *node {
+	if value.null() {
+		return nil
+	}
+
+	switch {
+	case want == durationType:
+		return c.duration(value, at)
+	case want == addressType:
+		return c.address(value, at)
+	}
+
+	switch want.Kind() {
+	case reflect.Struct:
+		return c.structure(value, want, at)
+	case reflect.Map:
+		return c.mapping(value, want, at)
+	case reflect.Slice:
+		return c.list(value, want, at)
+	default:
+		return c.scalar(value, want, at)
+	}
+}
+
+func (c *checker) structure(value *node, want reflect.Type, at *path) *node {
+	if value.members == nil {
+		c.fault(at, value.text(), "want an object with the keys %s", strings.Join(names(want), ", "))
+
+		return nil
+	}
+
+	kept := &node{line: value.line, members: make(map[string]*node)}
+
+	for _, name := range sortedKeys(value.members) {
+		field, found := fieldNamed(want, name)
+		if !found {
+			c.fault(at.key(name), value.members[name].text(), "unknown key; allowed are %s",
+				strings.Join(names(want), ", "))
+
+			continue
+		}
+
+		if member := c.shape(value.members[name], field.Type, at.key(name)); member != nil {
+			kept.members[name] = member
+		}
+	}
+
+	return kept
+}
+
+func (c *checker) mapping(value *node, want reflect.Type, at *path) *node {
+	if value.members == nil {
+		c.fault(at, value.text(), "want an object")
+
+		return nil
+	}
+
+	kept := &node{line: value.line, members: make(map[string]*node)}
+
+	for _, name := range sortedKeys(value.members) {
+		if member := c.shape(value.members[name], want.Elem(), at.key(name)); member != nil {
+			kept.members[name] = member
+		}
+	}
+
+	return kept
+}
+
+func (c *checker) list(value *node, want reflect.Type, at *path) *node {
+	if value.items == nil {
+		c.fault(at, value.text(), "want a list")
+
+		return nil
+	}
+
+	kept := &node{line: value.line, items: []*node{}}
+
+	for i, item := range value.items {
+		member := c.shape(item, want.Elem(), at.index(i))
+		if member == nil {
+			// An element keeps its place so that the paths of later faults stay right.
+			member = zeroNode(want.Elem())
+		}
+
+		kept.items = append(kept.items, member)
+	}
+
+	return kept
+}
+
+func zeroNode(of reflect.Type) *node {
+	if of.Kind() == reflect.Struct && of != addressType {
+		return &node{members: map[string]*node{}}
+	}
+
+	return &node{scalar: ""}
+}
+
+func (c *checker) duration(value *node, at *path) *node {
+	var parsed Duration
+	if err := parsed.UnmarshalJSON([]byte(value.fullText())); err != nil {
+		c.fault(at, value.text(), `want a text of numbers with units, such as "1.5s" or "20ms"`)
+
+		return nil
+	}
+
+	return value
+}
+
+func (c *checker) address(value *node, at *path) *node {
+	text, isText := value.scalar.(string)
+	if isText && text == "" {
+		return value
+	}
+
+	if _, err := netip.ParseAddrPort(text); !isText || err != nil {
+		c.fault(at, value.text(), `want an IP address with a port, such as "10.1.0.5:5432" or "[fd00::5]:5432"`)
+
+		return nil
+	}
+
+	return value
+}
+
+func (c *checker) scalar(value *node, want reflect.Type, at *path) *node {
+	var (
+		fits bool
+		name string
+	)
+
+	switch want.Kind() {
+	case reflect.String:
+		_, fits = value.scalar.(string)
+		name = "a text"
+	case reflect.Bool:
+		_, fits = value.scalar.(bool)
+		name = "true or false"
+	default:
+		name = "a whole number"
+
+		if number, isNumber := value.scalar.(json.Number); isNumber {
+			_, err := strconv.ParseInt(number.String(), 10, strconv.IntSize)
+			fits = err == nil
+		}
+	}
+
+	if !fits {
+		c.fault(at, value.text(), "want %s", name)
+
+		return nil
+	}
+
+	return value
+}
+
+// fullText returns the node as JSON text without shortening.
+func (n *node) fullText() string {
+	return string(compact(n))
+}
+
+// names returns the JSON keys of a structure.
+func names(of reflect.Type) []string {
+	found := make([]string, 0, of.NumField())
+	for i := range of.NumField() {
+		found = append(found, jsonName(of.Field(i)))
+	}
+
+	return found
+}
+
+func jsonName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+
+	return name
+}
+
+func fieldNamed(of reflect.Type, name string) (reflect.StructField, bool) {
+	for i := range of.NumField() {
+		if jsonName(of.Field(i)) == name {
+			return of.Field(i), true
+		}
+	}
+
+	return reflect.StructField{}, false
+}
+
+func sortedKeys[T any](of map[string]T) []string {
+	keys := make([]string, 0, len(of))
+	for key := range of {
+		keys = append(keys, key)
+	}
+
+	slices.Sort(keys)
+
+	return keys
+}
