--- a/core/settings/difference.go
+++ b/core/settings/difference.go
@@ -24,6 +24,8 @@
 		is, has := present[name]
 
 		switch {
+		case is == "{}" || is == "[]" || was == "{}" || was == "[]":
+			// The members that are added or removed have lines of their own.
 		case !had:
 			lines.WriteString("+ " + name + ": " + is + "\n")
 		case !has:
--- a/core/settings/load.go
+++ b/core/settings/load.go
@@ -130,7 +130,9 @@
 	var faults Faults
 
 	for _, name := range sortedKeys(value.members) {
-		member, inner := value.members[name], want
+		member := value.members[name]
+
+		var inner reflect.Type
 
 		switch {
 		case want.Kind() == reflect.Map:
--- a/core/settings/shape.go
+++ b/core/settings/shape.go
@@ -68,19 +68,18 @@
 		return nil
 	}
 
+	kind := want.Kind()
+
 	switch {
 	case want == durationType:
 		return c.duration(value, at)
 	case want == addressType:
 		return c.address(value, at)
-	}
-
-	switch want.Kind() {
-	case reflect.Struct:
+	case kind == reflect.Struct:
 		return c.structure(value, want, at)
-	case reflect.Map:
+	case kind == reflect.Map:
 		return c.mapping(value, want, at)
-	case reflect.Slice:
+	case kind == reflect.Slice:
 		return c.list(value, want, at)
 	default:
 		return c.scalar(value, want, at)
@@ -190,23 +189,19 @@
 func (c *checker) scalar(value *node, want reflect.Type, at *path) *node {
 	var (
 		fits bool
-		name string
+		name = "a whole number"
 	)
 
-	switch want.Kind() {
-	case reflect.String:
+	kind := want.Kind()
+	if kind == reflect.String {
 		_, fits = value.scalar.(string)
 		name = "a text"
-	case reflect.Bool:
+	} else if kind == reflect.Bool {
 		_, fits = value.scalar.(bool)
 		name = "true or false"
-	default:
-		name = "a whole number"
-
-		if number, isNumber := value.scalar.(json.Number); isNumber {
-			_, err := strconv.ParseInt(number.String(), 10, strconv.IntSize)
-			fits = err == nil
-		}
+	} else if number, isNumber := value.scalar.(json.Number); isNumber {
+		_, err := strconv.ParseInt(number.String(), 10, strconv.IntSize)
+		fits = err == nil
 	}
 
 	if !fits {
