--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,53 @@
+package metrics
+
+import (
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"almondgrade/core/result"
+)
+
+// unknownName counts codes that are not in the table.
+const unknownName = "unknown"
+
+// Metrics counts outcomes by their result code. It is safe for concurrent use.
+type Metrics struct {
+	// Registry holds the counters of the codes and whatever else a process registers.
+	Registry gometrics.Registry
+	codes    map[result.Code]gometrics.Counter
+	unknown  gometrics.Counter
+}
+
+// New returns metrics with a counter for every result code.
+func New() *Metrics {
+	registry := gometrics.NewRegistry()
+	counts := &Metrics{
+		Registry: registry,
+		codes:    make(map[result.Code]gometrics.Counter),
+		unknown:  gometrics.NewRegisteredCounter(unknownName, registry),
+	}
+
+	for _, row := range result.Table() {
+		counts.codes[row.Code] = gometrics.NewRegisteredCounter(row.Name, registry)
+	}
+
+	return counts
+}
+
+// Count adds one to the counter of a code. OK is not counted.
+func (m *Metrics) Count(code result.Code) {
+	if code == result.OK {
+		return
+	}
+
+	counter, found := m.codes[code]
+	if !found {
+		counter = m.unknown
+	}
+
+	counter.Inc(1)
+}
+
+// Counter returns the counter of a name, which it registers on first use.
+func (m *Metrics) Counter(name string) gometrics.Counter {
+	return gometrics.GetOrRegisterCounter(name, m.Registry)
+}
