io/operator: add server and client for operators

Operators change and inspect the system over HTTP on every process. Bodies are the messages of control.proto as protobuf JSON, so no second set of types has to follow them; the settings field is the exception, because base64 can't be read or written by hand. The client asks every address and never reports "not run" while another process may have run the change.

--- /dev/null
+++ b/internal/web/doc.go
@@ -0,0 +1,6 @@
+// Package web is what the HTTP listeners of a process share: bounded bodies, timeouts, answers in JSON and errors
+// with result codes.
+//
+// An error is answered as {"code": 1503, "name": "change_invalid", "reason": "..."} with the HTTP status that
+// Status gives for the code.
+package web
--- /dev/null
+++ b/io/operator/operator_test.go
@@ -0,0 +1,341 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"almondgrade/core/result"
+	"almondgrade/core/settings"
+	"almondgrade/core/timer"
+	"almondgrade/internal/metrics"
+	"almondgrade/internal/security"
+	"almondgrade/internal/web"
+	"almondgrade/io/control/controlpb"
+)
+
+const loopback = "127.0.0.1:0"
+
+// fake answers with what a test sets.
+type fake struct {
+	mutex  sync.Mutex
+	change *controlpb.ChangeReply
+	status *controlpb.StatusReply
+	drain  *controlpb.DrainReply
+	err    error
+	seen   []proto.Message
+}
+
+func (f *fake) record(message proto.Message) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	f.seen = append(f.seen, message)
+
+	return f.err
+}
+
+func (f *fake) Apply(_ context.Context, change *controlpb.Change) (*controlpb.ChangeReply, error) {
+	return f.change, f.record(change)
+}
+
+func (f *fake) Status(context.Context) (*controlpb.StatusReply, error) {
+	return f.status, f.record(&controlpb.StatusRequest{})
+}
+
+func (f *fake) Drain(_ context.Context, request *controlpb.DrainRequest) (*controlpb.DrainReply, error) {
+	return f.drain, f.record(request)
+}
+
+func (f *fake) received() []proto.Message {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	return f.seen
+}
+
+func start(t *testing.T, control Control, gate security.Gate) (*Server, *metrics.Metrics, *slog.LevelVar) {
+	t.Helper()
+
+	counts, level := metrics.New(), new(slog.LevelVar)
+
+	server, err := New(Options{
+		Web: web.Options{Address: netip.MustParseAddrPort(loopback), Gate: gate,
+			Logger: slog.New(slog.DiscardHandler)},
+		Control: control, Registry: counts.Registry, Level: level,
+		Settings: func() (settings.Running, bool) { return settings.Defaults(), true },
+	})
+	require.NoError(t, err)
+
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+
+		require.NoError(t, server.Close(ctx))
+	})
+
+	return server, counts, level
+}
+
+func client(servers ...*Server) *Client {
+	var target Target
+	for _, server := range servers {
+		target.Addresses = append(target.Addresses, server.Address())
+	}
+
+	return NewClient(target)
+}
+
+func send(t *testing.T, server *Server, method, path, body string) (int, string) {
+	t.Helper()
+
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+server.Address().String()+path,
+		strings.NewReader(body))
+	require.NoError(t, err)
+
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+
+	defer response.Body.Close()
+
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+
+	return response.StatusCode, string(data)
+}
+
+// Guards against a field that is lost between client and server.
+func TestMessagesArriveWhole(t *testing.T) {
+	control := &fake{
+		change: &controlpb.ChangeReply{Number: 1 << 60, Author: "a", Difference: "~ x", Repeated: true},
+		status: &controlpb.StatusReply{Version: 7, Configuration: 3, Settings: []byte(`{"when_unconfirmed":"refuse"}`),
+			Groups: []*controlpb.Group{{Name: "g", Term: 2, History: []*controlpb.TermBegin{{Term: 2, Lsn: 1 << 62}}}},
+			Leader: "c1"},
+		drain: &controlpb.DrainReply{},
+	}
+	server, _, _ := start(t, control, security.Gate{})
+	operator := client(server)
+
+	change := &controlpb.Change{Id: "id", Base: 1 << 59, Author: "me", Settings: []byte(`{"users":{}}`), Dry: true}
+	reply, err := operator.Apply(t.Context(), change)
+	require.NoError(t, err)
+	require.True(t, proto.Equal(control.change, reply), "%v", reply)
+
+	status, err := operator.Status(t.Context())
+	require.NoError(t, err)
+	require.True(t, proto.Equal(control.status, status), "%v", status)
+
+	drain := &controlpb.DrainRequest{Server: "db1", Undo: true}
+	_, err = operator.Drain(t.Context(), drain)
+	require.NoError(t, err)
+
+	seen := control.received()
+	require.Len(t, seen, 3)
+	require.True(t, proto.Equal(change, seen[0]), "%v", seen[0])
+	require.True(t, proto.Equal(drain, seen[2]), "%v", seen[2])
+
+	running, err := operator.Settings(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, settings.Defaults().Timing, running.Timing)
+}
+
+// Guards against a refusal that looks like success, and against a lost code or difference.
+func TestRefusalsKeepTheirCode(t *testing.T) {
+	control := &fake{change: &controlpb.ChangeReply{Code: uint32(result.NumberNotCurrent), Reason: "based on 4",
+		Number: 5, Author: "other", Difference: "~ timing"}}
+	server, _, _ := start(t, control, security.Gate{})
+	operator := client(server)
+	change := &controlpb.Change{Id: "id", Author: "me", Settings: []byte(`{}`)}
+
+	reply, err := operator.Apply(t.Context(), change)
+	require.EqualError(t, err, "AG1501: based on 4")
+	require.Equal(t, "~ timing", reply.GetDifference())
+	require.EqualValues(t, 5, reply.GetNumber())
+
+	control.err = result.New(result.NotFound, "no server db9")
+	_, err = operator.Drain(t.Context(), &controlpb.DrainRequest{Server: "db9"})
+	require.EqualError(t, err, "AG1508: no server db9")
+
+	control.err = errors.New("broken")
+	_, err = operator.Status(t.Context())
+	require.ErrorIs(t, err, ErrNoAnswer, "an error without a code leaves the outcome unknown")
+	require.ErrorContains(t, err, "broken")
+}
+
+// Guards against a client that gives up at a process which can't answer, and one that reports "not run" although
+// another process may have run the change.
+func TestClientAsksOthers(t *testing.T) {
+	good := &fake{change: &controlpb.ChangeReply{Number: 2}}
+	follower := &fake{err: result.New(result.NotLeader, "ask c2")}
+	isolated := &fake{err: result.New(result.NoQuorum, "no quorum")}
+
+	leader, _, _ := start(t, good, security.Gate{})
+	second, _, _ := start(t, follower, security.Gate{})
+	third, _, _ := start(t, isolated, security.Gate{})
+	gone, _, _ := start(t, good, security.Gate{})
+	require.NoError(t, gone.Close(t.Context()))
+
+	change := &controlpb.Change{Id: "id", Author: "me", Settings: []byte(`{}`)}
+
+	reply, err := client(gone, second, third, leader).Apply(t.Context(), change)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, reply.GetNumber())
+
+	_, err = client(second).Apply(t.Context(), change)
+	require.Equal(t, result.NotLeader, result.CodeOf(err))
+
+	_, err = client(third, second).Apply(t.Context(), change)
+	require.Equal(t, result.NoQuorum, result.CodeOf(err))
+
+	_, err = client(second, gone).Apply(t.Context(), change)
+	require.ErrorIs(t, err, ErrNoAnswer)
+}
+
+// Guards against bodies that reach control although they are wrong or too long.
+func TestBadRequestsDontReachControl(t *testing.T) {
+	control := &fake{}
+	server, _, _ := start(t, control, security.Gate{})
+
+	cases := []struct {
+		name, method, path, body string
+		status                   int
+		text                     string
+	}{
+		{"not JSON", "POST", "/v1/apply", "{", 400, `"code":1201`},
+		{"list", "POST", "/v1/apply", "[]", 400, `"name":"protocol"`},
+		{"unknown field", "POST", "/v1/apply", `{"id":"a","author":"b","bse":1,"settings":{}}`, 400, "bse"},
+		{"no id", "POST", "/v1/apply", `{"author":"b","settings":{}}`, 400, "id has 0 bytes"},
+		{"long author", "POST", "/v1/apply", `{"id":"a","author":"` + strings.Repeat("x", 129) + `"}`, 400, "129 bytes"},
+		{"no settings", "POST", "/v1/apply", `{"id":"a","author":"b"}`, 422, `"code":1503`},
+		{"faults", "POST", "/v1/apply", `{"id":"a","author":"b","settings":{"timing":{"lease":"9s"}}}`, 422, "timing.lease"},
+		{"too long", "POST", "/v1/drain", strings.Repeat(" ", maxSmallBytes+1), 413, `"code":1205`},
+		{"no target", "POST", "/v1/drain", `{}`, 400, "either server or proxy"},
+		{"two targets", "POST", "/v1/drain", `{"server":"a","proxy":"b"}`, 400, "either server or proxy"},
+		{"level", "PUT", "/v1/level", `{"level":"loud"}`, 400, "debug, info, warn, error"},
+		{"path", "GET", "/v2/status", "", 404, `"code":1508`},
+		{"method", "GET", "/v1/apply", "", 404, "GET /v1/apply does not exist"},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			status, body := send(t, server, one.method, one.path, one.body)
+			require.Equal(t, one.status, status, body)
+			require.Contains(t, body, one.text)
+		})
+	}
+
+	require.Empty(t, control.received())
+}
+
+// Guards against a listener that serves strangers.
+func TestTokenIsNeeded(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "token")
+	require.NoError(t, os.WriteFile(file, []byte("0123456789abcdef"), 0o600))
+
+	token, err := security.NewToken(file, timer.NewManual(time.Unix(0, 0)), slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+
+	control := &fake{status: &controlpb.StatusReply{Leader: "c1"}}
+	server, _, _ := start(t, control, security.Gate{Token: token})
+
+	for _, path := range []string{"/metrics", "/v1/status", "/v1/settings", "/v1/level", "/nothing"} {
+		status, body := send(t, server, "GET", path, "")
+		require.Equal(t, http.StatusUnauthorized, status, path)
+		require.Contains(t, body, `"code":1203`)
+	}
+
+	for _, path := range []string{"/v1/apply", "/v1/drain"} {
+		status, _ := send(t, server, "POST", path, "{}")
+		require.Equal(t, http.StatusUnauthorized, status, path)
+	}
+
+	require.Empty(t, control.received())
+
+	addresses := []netip.AddrPort{server.Address()}
+	_, err = NewClient(Target{Addresses: addresses, Token: "0123456789abcdeX"}).Status(t.Context())
+	require.Equal(t, result.Authentication, result.CodeOf(err))
+
+	status, err := NewClient(Target{Addresses: addresses, Token: "0123456789abcdef"}).Status(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, "c1", status.GetLeader())
+}
+
+// Guards against a listener off loopback without authentication.
+func TestOpenListenerIsRefused(t *testing.T) {
+	_, err := New(Options{Web: web.Options{Address: netip.MustParseAddrPort("0.0.0.0:0"),
+		Logger: slog.New(slog.DiscardHandler)}})
+	require.ErrorContains(t, err, "off loopback")
+}
+
+// Guards against a counter that operators can't see.
+func TestMetricsAsTextAndJSON(t *testing.T) {
+	server, counts, _ := start(t, &fake{}, security.Gate{})
+	counts.Count(result.QueueFull)
+
+	status, body := send(t, server, "GET", "/metrics", "")
+	require.Equal(t, http.StatusOK, status)
+
+	for _, row := range result.Table() {
+		want := row.Name + " 0\n"
+		if row.Code == result.QueueFull {
+			want = row.Name + " 1\n"
+		}
+
+		require.Contains(t, body, want)
+	}
+
+	_, body = send(t, server, "GET", "/metrics?format=json", "")
+	require.Contains(t, body, `"queue_full":{"count":1}`)
+}
+
+// Guards against a level change that is answered but not made.
+func TestLevel(t *testing.T) {
+	server, _, level := start(t, &fake{}, security.Gate{})
+
+	require.NoError(t, client(server).Level(t.Context(), "debug"))
+	require.Equal(t, slog.LevelDebug, level.Level())
+
+	_, body := send(t, server, "GET", "/v1/level", "")
+	require.Equal(t, "{\"level\":\"debug\"}\n", body)
+}
+
+// Guards against a JSON form that changes a configuration on its way.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"id":"a","base":"7","author":"b","settings":{"users":{}},"dry":true}`))
+	f.Add([]byte(`{"settings":null}`))
+	f.Add([]byte(`{"settings":{"<":"&"}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		first := &controlpb.Change{}
+		if decode(data, first, true) != nil {
+			return
+		}
+
+		encoded, err := encode(first)
+		require.NoError(t, err)
+
+		second := &controlpb.Change{}
+		require.NoError(t, decode(encoded, second, true))
+
+		var compact bytes.Buffer
+		if len(first.GetSettings()) > 0 {
+			require.NoError(t, json.Compact(&compact, first.GetSettings()))
+		}
+
+		first.Settings = compact.Bytes()
+		second.Settings = append([]byte(nil), second.GetSettings()...)
+		require.Equal(t, string(first.Settings), string(second.Settings))
+	})
+}
--- /dev/null
+++ b/io/operator/server.go
@@ -0,0 +1,225 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+
+	"almondgrade/core/result"
+	"almondgrade/core/settings"
+	"almondgrade/internal/logging"
+	"almondgrade/internal/web"
+	"almondgrade/io/control/controlpb"
+)
+
+const (
+	// maxChangeBytes bounds the body of a change. A configuration for 2,700 groups takes about 1 MiB.
+	maxChangeBytes = 16 << 20
+	// maxSmallBytes bounds the bodies of other requests.
+	maxSmallBytes = 64 << 10
+	// maxIDBytes bounds change ids and authors, which the control log keeps.
+	maxIDBytes = 128
+	// requestTimeout bounds the work on a request that sets no other bound.
+	requestTimeout = 15 * time.Second
+)
+
+// Options are the parts that a Server connects.
+type Options struct {
+	Web      web.Options
+	Control  Control
+	Registry gometrics.Registry
+	Level    *slog.LevelVar
+	// Settings returns the running configuration that the process has in force, and false before it has one.
+	Settings func() (settings.Running, bool)
+}
+
+// Server is a running interface for operators. It is safe for concurrent use.
+type Server struct {
+	options Options
+	web     *web.Server
+}
+
+// New starts to listen.
+func New(options Options) (*Server, error) {
+	if options.Web.Timeout == 0 {
+		options.Web.Timeout = requestTimeout
+	}
+
+	s := &Server{options: options}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", s.metrics)
+	mux.HandleFunc("GET /v1/status", s.status)
+	mux.HandleFunc("POST /v1/apply", s.apply)
+	mux.HandleFunc("POST /v1/drain", s.drain)
+	mux.HandleFunc("GET /v1/settings", s.settings)
+	mux.HandleFunc("GET /v1/level", s.level)
+	mux.HandleFunc("PUT /v1/level", s.setLevel)
+
+	var err error
+
+	s.web, err = web.Listen(options.Web, web.Guard(options.Web.Gate, web.Fallback(mux)))
+
+	return s, err //nolint:wrapcheck // The error names the listener.
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() netip.AddrPort {
+	return s.web.Address()
+}
+
+// Close stops listening and waits for the requests that run, until the context ends.
+func (s *Server) Close(ctx context.Context) error {
+	return s.web.Close(ctx) //nolint:wrapcheck // The error names the listener.
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	reply, err := s.options.Control.Status(r.Context())
+	s.answer(w, reply, 0, err)
+}
+
+func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
+	change := &controlpb.Change{}
+
+	err := s.read(w, r, maxChangeBytes, change)
+	if err == nil {
+		err = checkChange(change)
+	}
+
+	if err != nil {
+		web.WriteError(w, err)
+
+		return
+	}
+
+	reply, err := s.options.Control.Apply(r.Context(), change)
+	s.answer(w, reply, reply.GetCode(), err)
+
+	if err == nil && !change.GetDry() {
+		s.options.Web.Logger.Info("change answered", "id", change.GetId(), "author", change.GetAuthor(),
+			"base", change.GetBase(), "number", reply.GetNumber(), "code", reply.GetCode(), "repeated", reply.GetRepeated())
+	}
+}
+
+// checkChange refuses a change before it reaches control.
+func checkChange(change *controlpb.Change) error {
+	for _, field := range []struct{ name, text string }{{"id", change.GetId()}, {"author", change.GetAuthor()}} {
+		if field.text == "" || len(field.text) > maxIDBytes {
+			return result.New(result.Protocol, "%s has %d bytes, want 1 to %d", field.name, len(field.text), maxIDBytes)
+		}
+	}
+
+	if _, faults := settings.CheckRunning(change.GetSettings()); len(faults) > 0 {
+		return result.New(result.ChangeInvalid, "%w", faults)
+	}
+
+	return nil
+}
+
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	request := &controlpb.DrainRequest{}
+
+	err := s.read(w, r, maxSmallBytes, request)
+	if err == nil && (request.GetServer() == "") == (request.GetProxy() == "") {
+		err = result.New(result.Protocol, "want either server or proxy")
+	}
+
+	if err != nil {
+		web.WriteError(w, err)
+
+		return
+	}
+
+	reply, err := s.options.Control.Drain(r.Context(), request)
+	s.answer(w, reply, reply.GetCode(), err)
+
+	if err == nil {
+		s.options.Web.Logger.Info("drain answered", "server", request.GetServer(), "proxy", request.GetProxy(),
+			"undo", request.GetUndo(), "code", reply.GetCode())
+	}
+}
+
+func (s *Server) settings(w http.ResponseWriter, _ *http.Request) {
+	running, known := s.options.Settings()
+	if !known {
+		web.WriteError(w, result.New(result.Unconfirmed, "the process has no configuration yet"))
+
+		return
+	}
+
+	web.WriteJSON(w, http.StatusOK, running)
+}
+
+// levelBody is the body of the log level.
+type levelBody struct {
+	Level string `json:"level"`
+}
+
+func (s *Server) level(w http.ResponseWriter, _ *http.Request) {
+	web.WriteJSON(w, http.StatusOK, levelBody{strings.ToLower(s.options.Level.Level().String())})
+}
+
+func (s *Server) setLevel(w http.ResponseWriter, r *http.Request) {
+	data, err := web.Body(w, r, maxSmallBytes)
+	if err != nil {
+		web.WriteError(w, err)
+
+		return
+	}
+
+	var body levelBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		web.WriteError(w, result.New(result.Protocol, "the body is not a log level: %w", err))
+
+		return
+	}
+
+	level, err := logging.ParseLevel(body.Level)
+	if err != nil {
+		web.WriteError(w, result.New(result.Protocol, "%w", err))
+
+		return
+	}
+
+	s.options.Level.Set(level)
+	s.options.Web.Logger.Warn("log level changed", "level", body.Level)
+	s.level(w, r)
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request, limit int64, into proto.Message) error {
+	data, err := web.Body(w, r, limit)
+	if err != nil {
+		return err //nolint:wrapcheck // The error carries a code.
+	}
+
+	return decode(data, into, true)
+}
+
+// answer writes a reply. A refusal has the status of its code.
+func (s *Server) answer(w http.ResponseWriter, reply proto.Message, code uint32, err error) {
+	if err != nil {
+		web.WriteError(w, err)
+
+		return
+	}
+
+	data, err := encode(reply)
+	if err != nil {
+		web.WriteError(w, err)
+
+		return
+	}
+
+	status := http.StatusOK
+	if code != 0 {
+		status = web.Status(result.Code(code))
+	}
+
+	web.WriteJSON(w, status, json.RawMessage(data))
+}
