io/platform: add announcements and health checks

Backend servers announce themselves over HTTP to any VM, and the balancer asks for health. A wrong announcement is refused with everything that is wrong, before it can put limits or addresses into the replicated state.

--- a/core/settings/check.go
+++ b/core/settings/check.go
@@ -42,7 +42,13 @@
 // with a prefix and a term, and of session tokens, which separate by colon and comma.
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,31}$`)
 
-const nameAllowed = "want 1 to 32 letters, digits, dots, dashes or underscores, beginning with a letter or digit"
+// NameAllowed says which names ValidName accepts.
+const NameAllowed = "want 1 to 32 letters, digits, dots, dashes or underscores, beginning with a letter or digit"
+
+// ValidName reports whether a text can name a VM, a data centre, a group or a backend server.
+func ValidName(text string) bool {
+	return namePattern.MatchString(text)
+}
 
 // words reports a value that is none of the allowed words.
 func (c *checker) words(at *path, value string, allowed ...string) {
@@ -54,9 +60,9 @@
 func (c *checker) name(at *path, value string) {
 	switch {
 	case value == "":
-		c.fault(at, "", "missing; %s", nameAllowed)
-	case !namePattern.MatchString(value):
-		c.fault(at, strconv.Quote(value), nameAllowed)
+		c.fault(at, "", "missing; %s", NameAllowed)
+	case !ValidName(value):
+		c.fault(at, strconv.Quote(value), NameAllowed)
 	}
 }
 
--- /dev/null
+++ b/io/platform/doc.go
@@ -0,0 +1,29 @@
+// Package platform is the HTTP interface for the platform that runs the backend servers and the load balancer.
+//
+//	POST /v1/announce   a backend server announces itself, each second and on change
+//	GET  /health        200, or 503 with the reason why the balancer should send no callers here
+//	GET  /ready         200 once the process has a configuration, 503 before
+//
+// An announcement is one JSON object with the fields of the message Server of proto/control.proto:
+//
+//	{"name": "db1a", "group": "students1", "address": "10.10.1.31:5432", "identity": "7288126",
+//	 "incarnation": 4, "sequence": 17, "slots": 5, "connections": 35, "centre": "plateau",
+//	 "leaving": false, "recovery": true}
+//
+// leaving and recovery may be left out; unknown fields are refused. The reply says what the server should be:
+//
+//	{"code": 0, "reason": "", "term": 3, "primary": "db1b", "primary_address": "10.10.2.31:5432",
+//	 "history": [{"term": 1, "lsn": 0}, {"term": 3, "lsn": 26741232}]}
+//
+// A server that is a primary of an older term must be rewound to the beginning of the next term and restarted as
+// a replica. /health and /ready need no authentication.
+//
+// # Usage
+//
+//	server, err := platform.New(platform.Options{
+//		Web:       web.Options{Address: vm.Platform, Gate: gate, Logger: logger},
+//		Announcer: client,
+//		Health:    proxy.Health,
+//		Ready:     proxy.Ready,
+//	})
+package platform
--- /dev/null
+++ b/io/platform/platform_test.go
@@ -0,0 +1,228 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"almondgrade/core/result"
+	"almondgrade/core/timer"
+	"almondgrade/internal/security"
+	"almondgrade/internal/web"
+	"almondgrade/io/control/controlpb"
+)
+
+const valid = `{"name": "db1a", "group": "students1", "address": "10.10.1.31:5432", "identity": "7288126",
+	"incarnation": 4, "sequence": 17, "slots": 5, "connections": 35, "centre": "plateau", "recovery": true}`
+
+// fake is an Announcer and the process behind the checks.
+type fake struct {
+	mutex sync.Mutex
+	seen  []*controlpb.Announcement
+	reply *controlpb.AnnounceReply
+	err   error
+}
+
+func (f *fake) Announce(_ context.Context, one *controlpb.Announcement) (*controlpb.AnnounceReply, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	f.seen = append(f.seen, one)
+
+	return f.reply, f.err
+}
+
+func (f *fake) check() error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+
+	return f.err
+}
+
+func start(t *testing.T, behind *fake, gate security.Gate) *Server {
+	t.Helper()
+
+	server, err := New(Options{
+		Web: web.Options{Address: netip.MustParseAddrPort("127.0.0.1:0"), Gate: gate,
+			Logger: slog.New(slog.DiscardHandler)},
+		Announcer: behind, Health: behind.check, Ready: behind.check,
+	})
+	require.NoError(t, err)
+
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+
+		require.NoError(t, server.Close(ctx))
+	})
+
+	return server
+}
+
+func send(t *testing.T, server *Server, method, path, body, token string) (int, string) {
+	t.Helper()
+
+	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+server.Address().String()+path,
+		strings.NewReader(body))
+	require.NoError(t, err)
+
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+
+	defer response.Body.Close()
+
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+
+	return response.StatusCode, string(data)
+}
+
+// Guards against a field that is lost on the way to control or back to the server.
+func TestAnnouncementArrivesWhole(t *testing.T) {
+	behind := &fake{reply: &controlpb.AnnounceReply{Term: 3, Primary: "db1b", PrimaryAddress: "10.10.2.31:5432",
+		History: []*controlpb.TermBegin{{Term: 1}, {Term: 3, Lsn: 26741232}}}}
+	server := start(t, behind, security.Gate{})
+
+	status, body := send(t, server, "POST", "/v1/announce", valid, "")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, `{"code":0,"reason":"","term":3,"primary":"db1b","primary_address":"10.10.2.31:5432",`+
+		`"history":[{"term":1,"lsn":0},{"term":3,"lsn":26741232}]}`+"\n", body)
+
+	want := &controlpb.Announcement{Server: &controlpb.Server{Name: "db1a", Group: "students1",
+		Address: "10.10.1.31:5432", Identity: "7288126", Incarnation: 4, Sequence: 17, Slots: 5, Connections: 35,
+		Centre: "plateau", Recovery: true}}
+
+	require.Len(t, behind.seen, 1)
+	require.True(t, proto.Equal(want, behind.seen[0]), "%v", behind.seen[0])
+}
+
+// Guards against refusals of control that a server takes for acceptance.
+func TestRefusalsOfControl(t *testing.T) {
+	behind := &fake{reply: &controlpb.AnnounceReply{Code: uint32(result.NameClaimed), Reason: "held by 10.0.0.9:1",
+		Term: 3}}
+	server := start(t, behind, security.Gate{})
+
+	status, body := send(t, server, "POST", "/v1/announce", valid, "")
+	require.Equal(t, http.StatusConflict, status)
+	require.Contains(t, body, `{"code":1505,"reason":"held by 10.0.0.9:1","term":3,`)
+
+	behind.err = result.New(result.NoQuorum, "no quorum")
+	status, body = send(t, server, "POST", "/v1/announce", valid, "")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Contains(t, body, `"code":1502`)
+
+	behind.err = errors.New("broken")
+	status, _ = send(t, server, "POST", "/v1/announce", valid, "")
+	require.Equal(t, http.StatusInternalServerError, status)
+}
+
+// Guards against announcements that would put wrong limits or addresses into the replicated state.
+func TestBadAnnouncementsAreRefused(t *testing.T) {
+	behind := &fake{reply: &controlpb.AnnounceReply{}}
+	server := start(t, behind, security.Gate{})
+
+	cases := []struct {
+		name, old, changed, text string
+	}{
+		{"missing fields", `"slots": 5, "connections": 35, `, ``, "slots is missing; connections is missing"},
+		{"null", `"slots": 5`, `"slots": null`, "slots is missing"},
+		{"unknown field", `"slots"`, `"lots"`, "lots"},
+		{"negative", `"sequence": 17`, `"sequence": -1`, "sequence"},
+		{"fraction", `"slots": 5`, `"slots": 1.5`, "slots"},
+		{"text for number", `"slots": 5`, `"slots": "5"`, "slots"},
+		{"name with underscore first", `"db1a"`, `"_db1a"`, "name: want"},
+		{"name with a quote", `"db1a"`, `"db'1a"`, "name: want"},
+		{"empty group", `"students1"`, `""`, "group: want"},
+		{"long centre", `"plateau"`, `"` + strings.Repeat("x", 33) + `"`, "centre: want"},
+		{"host name", `10.10.1.31:5432`, `localhost:5432`, "address: want"},
+		{"port zero", `:5432`, `:0`, "address: want"},
+		{"wildcard", `10.10.1.31`, `0.0.0.0`, "address: want"},
+		{"empty identity", `"7288126"`, `""`, "identity: want"},
+		{"no slots", `"slots": 5`, `"slots": 0`, "slots: want"},
+		{"more slots than connections", `"slots": 5`, `"slots": 36`, "slots: want"},
+		{"only the reserve", `"connections": 35`, `"connections": 2`, "connections: want"},
+		{"two documents", `true}`, `true} {}`, "goes on"},
+		{"not JSON", `{`, ``, "no announcement"},
+		{"too long", `{`, strings.Repeat(" ", maxBodyBytes) + `{`, "longer than"},
+	}
+	for _, one := range cases {
+		t.Run(one.name, func(t *testing.T) {
+			changed := strings.Replace(valid, one.old, one.changed, 1)
+			require.NotEqual(t, valid, changed)
+
+			status, body := send(t, server, "POST", "/v1/announce", changed, "")
+			require.GreaterOrEqual(t, status, 400)
+			require.Less(t, status, 500)
+			require.Contains(t, body, one.text)
+		})
+	}
+
+	require.Empty(t, behind.seen)
+}
+
+// Guards against a balancer that sends callers to a proxy which refuses them, and against checks behind the token.
+func TestChecks(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "token")
+	require.NoError(t, os.WriteFile(file, []byte("0123456789abcdef"), 0o600))
+
+	token, err := security.NewToken(file, timer.NewManual(time.Unix(0, 0)), slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+
+	behind := &fake{reply: &controlpb.AnnounceReply{}}
+	server := start(t, behind, security.Gate{Token: token})
+
+	for _, path := range []string{"/health", "/ready"} {
+		behind.err = nil
+		status, _ := send(t, server, "GET", path, "", "")
+		require.Equal(t, http.StatusOK, status)
+
+		for _, reason := range []error{result.New(result.Authentication, "why"), errors.New("why")} {
+			behind.err = reason
+			status, body := send(t, server, "GET", path, "", "")
+			require.Equal(t, http.StatusServiceUnavailable, status)
+			require.Contains(t, body, "why")
+		}
+	}
+
+	behind.err = nil
+	status, _ := send(t, server, "POST", "/v1/announce", valid, "")
+	require.Equal(t, http.StatusUnauthorized, status)
+	require.Empty(t, behind.seen)
+
+	status, _ = send(t, server, "POST", "/v1/announce", valid, "0123456789abcdef")
+	require.Equal(t, http.StatusOK, status)
+	require.Len(t, behind.seen, 1)
+}
+
+// Guards against input from the network that stops the process or passes a wrong server on.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte(`{"name": null}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		read, err := parse(data)
+		if err != nil {
+			require.Equal(t, result.Protocol, result.CodeOf(err))
+
+			return
+		}
+
+		require.NotEmpty(t, read.GetServer().GetName())
+		require.LessOrEqual(t, read.GetServer().GetSlots(), read.GetServer().GetConnections())
+	})
+}
