--- /dev/null
+++ b/cmd/almondgrade/control.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/netip"
+
+	"github.com/jessevdk/go-flags"
+
+	"almondgrade/core/settings"
+)
+
+// controlCommand runs a control process.
+type controlCommand struct {
+	process
+}
+
+func addControl(parser *flags.Parser, _ console) error {
+	return addCommand(parser, "control", "Run a control process",
+		"Runs a control process on this VM until SIGTERM or SIGINT.\n\n"+
+			"Exit codes: 0 shut down, 1 faults in settings, 2 wrong command line, 5 failed.\n\n"+
+			"Example:\n"+
+			"almondgrade control docs/examples/local/base.json docs/examples/local/control1.json",
+		&controlCommand{})
+}
+
+// Execute implements flags.Commander.
+func (c *controlCommand) Execute([]string) error {
+	return c.run("control", func(vm settings.VM) (string, netip.AddrPort) { return "vm.control", vm.Control }, runControl)
+}
+
+// runControl calls internal/controller.Run.
+func runControl(context.Context, *settings.Loaded, *slog.Logger, *slog.LevelVar) error {
+	return errors.New("this build has no control process")
+}
--- a/cmd/almondgrade/main.go
+++ b/cmd/almondgrade/main.go
@@ -36,6 +36,15 @@
 	out io.Writer
 }
 
+// print writes formatted text.
+func (c console) print(format string, args ...any) error {
+	if _, err := fmt.Fprintf(c.out, format, args...); err != nil {
+		return fmt.Errorf("write output: %w", err)
+	}
+
+	return nil
+}
+
 func main() {
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
@@ -47,7 +56,9 @@
 	parser.LongDescription = "Exit codes: 0 done, 1 faults in settings, 2 wrong command line, 3 refused with a " +
 		"result code, 4 no answer and the outcome is unknown, 5 a process or file operation failed."
 
-	for _, add := range []func(*flags.Parser, console) error{addCheck} {
+	for _, add := range []func(*flags.Parser, console) error{
+		addCheck, addApply, addStatus, addDrain, addProxy, addControl,
+	} {
 		if err := add(parser, console{out: stdout}); err != nil {
 			_, _ = fmt.Fprintln(stderr, err)
 
@@ -95,7 +106,7 @@
 	switch {
 	case errors.As(err, &faults):
 		return ExitFaults
-	case errors.Is(err, errNoAnswer):
+	case unknownOutcome(err):
 		return ExitUnknown
 	case result.CodeOf(err) != result.OK:
 		return ExitRefused
@@ -103,6 +114,3 @@
 		return ExitFailed
 	}
 }
-
-// errNoAnswer is wrapped by errors of requests that got no answer.
-var errNoAnswer = errors.New("no answer; the outcome is unknown")
--- /dev/null
+++ b/cmd/almondgrade/proxy.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/netip"
+
+	"github.com/jessevdk/go-flags"
+
+	"almondgrade/core/settings"
+)
+
+// proxyCommand runs a proxy.
+type proxyCommand struct {
+	process
+}
+
+func addProxy(parser *flags.Parser, _ console) error {
+	return addCommand(parser, "proxy", "Run a proxy",
+		"Runs a proxy on this VM until SIGTERM or SIGINT, then finishes the requests in progress.\n\n"+
+			"Exit codes: 0 shut down, 1 faults in settings, 2 wrong command line, 5 failed.\n\n"+
+			"Example:\n"+
+			"almondgrade proxy docs/examples/local/base.json",
+		&proxyCommand{})
+}
+
+// Execute implements flags.Commander.
+func (c *proxyCommand) Execute([]string) error {
+	return c.run("proxy", func(vm settings.VM) (string, netip.AddrPort) { return "vm.caller", vm.Caller }, runProxy)
+}
+
+// runProxy calls internal/proxy.Run.
+func runProxy(context.Context, *settings.Loaded, *slog.Logger, *slog.LevelVar) error {
+	return errors.New("this build has no proxy")
+}
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -113,7 +113,7 @@
 	if message != nil {
 		var err error
 
-		body, err = encode(message)
+		body, err = Encode(message)
 		if err != nil {
 			return err
 		}
--- a/io/operator/message.go
+++ b/io/operator/message.go
@@ -13,8 +13,8 @@
 // settingsKey is the field that holds a configuration as bytes in protobuf and as an object in JSON.
 const settingsKey = "settings"
 
-// encode returns a message as JSON.
-func encode(message proto.Message) ([]byte, error) {
+// Encode returns a message of proto/control.proto in the JSON form of this interface.
+func Encode(message proto.Message) ([]byte, error) {
 	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(message)
 	if err != nil {
 		return nil, result.New(result.Protocol, "write message as JSON: %w", err)
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -323,7 +323,7 @@
 			return
 		}
 
-		encoded, err := encode(first)
+		encoded, err := Encode(first)
 		require.NoError(t, err)
 
 		second := &controlpb.Change{}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -209,7 +209,7 @@
 		return
 	}
 
-	data, err := encode(reply)
+	data, err := Encode(reply)
 	if err != nil {
 		web.WriteError(w, err)
 
