internal/controller, io/control, core/registry, core/failover: add control without its log

Cause: proxies need one source for the configuration, groups and leases, and somebody must change primaries. Change: the replicated state machine and its immutable views, updates to proxies as deltas with a checked merge patch of the settings, the configuration lease, announcements, members, planned moves and failovers. The log itself is an interface here.

--- /dev/null
+++ b/core/batch/rounds.go
@@ -0,0 +1,100 @@
+package batch
+
+import (
+	"context"
+	"sync"
+)
+
+// Rounds runs a function in rounds, one at a time. It is safe for concurrent use.
+type Rounds[T any] struct {
+	run func(context.Context) (T, error)
+
+	mutex   sync.Mutex
+	running bool
+	next    *round[T]
+}
+
+type round[T any] struct {
+	done    chan struct{}
+	value   T
+	err     error
+	waiting int
+	ctx     context.Context //nolint:containedctx // Ends the round when its last caller has gone.
+	cancel  context.CancelFunc
+}
+
+// New returns rounds of the given function. The function must return soon after its context has ended.
+func New[T any](run func(context.Context) (T, error)) *Rounds[T] {
+	return &Rounds[T]{run: run}
+}
+
+// Do returns the result of a round that began after the call. If the caller's context ends first, its error is
+// returned; the round goes on for the other callers and ends early when none is left.
+func (r *Rounds[T]) Do(ctx context.Context) (T, error) {
+	joined := r.join()
+	defer r.leave(joined)
+
+	select {
+	case <-joined.done:
+		return joined.value, joined.err
+	case <-ctx.Done():
+		var none T
+
+		return none, context.Cause(ctx)
+	}
+}
+
+func (r *Rounds[T]) join() *round[T] {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	if r.next == nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		r.next = &round[T]{done: make(chan struct{}), ctx: ctx, cancel: cancel}
+	}
+
+	joined := r.next
+	joined.waiting++
+
+	if !r.running {
+		r.running = true
+
+		go r.loop()
+	}
+
+	return joined
+}
+
+func (r *Rounds[T]) leave(joined *round[T]) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	joined.waiting--
+	if joined.waiting == 0 {
+		joined.cancel()
+
+		if r.next == joined {
+			r.next = nil
+		}
+	}
+}
+
+// loop runs rounds until nobody waits for one.
+func (r *Rounds[T]) loop() {
+	for {
+		r.mutex.Lock()
+
+		current := r.next
+		r.next = nil
+		r.running = current != nil
+		r.mutex.Unlock()
+
+		if current == nil {
+			return
+		}
+
+		current.value, current.err = r.run(current.ctx)
+		current.cancel()
+		close(current.done)
+	}
+}
--- /dev/null
+++ b/core/failover/machine_test.go
@@ -0,0 +1,159 @@
+package failover_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"almondgrade/core/container"
+	"almondgrade/core/failover"
+	"almondgrade/core/position"
+	"almondgrade/core/registry"
+)
+
+// Guards against a promotion that loses an acknowledged write: for every member list and every commit quorum, the
+// candidate must hold what the quorum holds. The positions are drawn so that the commit quorum holds the write.
+func TestCandidateHoldsEveryAcknowledgedWrite(t *testing.T) {
+	t.Parallel()
+
+	promotions := 0
+
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 5).Draw(t, "members")
+		members := make([]string, n)
+
+		for i := range members {
+			members[i] = fmt.Sprintf("db%d", i)
+		}
+
+		group := registry.Group{Term: 3, Primary: "db0", Members: members, Phase: registry.PhaseFencing}
+		if rapid.Bool().Draw(t, "changing") && n > 1 {
+			group.Previous = members[:n-1]
+		}
+
+		const acknowledged = position.LSN(100)
+
+		// A coordinator may still use either list while a change of members is not settled, but it needs quorums
+		// in both once it knows of the change.
+		quorum := group.Members
+		if len(group.Previous) > 0 && rapid.Bool().Draw(t, "old coordinator") {
+			quorum = group.Previous
+		}
+
+		holders := container.NewSet(group.Primary)
+		positions := make(map[string]position.LSN)
+
+		for _, name := range rapid.Permutation(quorum[1:]).Draw(t, "order") {
+			if len(holders) < failover.CommitQuorum(len(quorum)) {
+				holders.Add(name)
+			}
+		}
+
+		for _, name := range members {
+			low := 0
+			if holders.Has(name) {
+				low = int(acknowledged)
+			}
+
+			positions[name] = position.LSN(rapid.IntRange(low, 200).Draw(t, "position"))
+		}
+
+		facts := failover.Facts{Fenced: map[string]position.LSN{}}
+
+		for _, name := range rapid.Permutation(members).Draw(t, "fencing order") {
+			action, decided := failover.Next(group, facts).(failover.RecordPromote)
+			if decided {
+				promotions++
+
+				assert.GreaterOrEqual(t, action.Begin, acknowledged)
+				assert.Equal(t, positions[action.Candidate], action.Begin)
+
+				return
+			}
+
+			if name != group.Primary {
+				facts.Fenced[name] = positions[name]
+			}
+		}
+	})
+	assert.Positive(t, promotions)
+}
+
+// Guards against a promotion with too few fenced members and against abandoning or finishing at the wrong time.
+func TestNext(t *testing.T) {
+	t.Parallel()
+
+	fencing := registry.Group{
+		Term: 1, Primary: "a", Members: []string{"a", "b", "c"}, Phase: registry.PhaseFencing, Target: "c",
+	}
+	promoting := fencing
+	promoting.Phase, promoting.Candidate = registry.PhasePromoting, "b"
+
+	tests := []struct {
+		name  string
+		group registry.Group
+		facts failover.Facts
+		want  failover.Action
+	}{
+		{"nothing fenced", fencing, failover.Facts{}, failover.FenceMembers{Servers: []string{"b", "c"}}},
+		{"one of two", fencing, failover.Facts{Fenced: map[string]position.LSN{"b": 5}},
+			failover.FenceMembers{Servers: []string{"c"}}},
+		{"highest position", fencing, failover.Facts{Fenced: map[string]position.LSN{"b": 5, "c": 4}},
+			failover.RecordPromote{Candidate: "b", Begin: 5}},
+		{"target of a planned move", fencing, failover.Facts{Fenced: map[string]position.LSN{"b": 5, "c": 5}},
+			failover.RecordPromote{Candidate: "c", Begin: 5}},
+		{"lost data don't count", fencing,
+			failover.Facts{Fenced: map[string]position.LSN{"b": 5, "c": 9}, Lost: container.NewSet("c")}, nil},
+		{"primary back early", fencing, failover.Facts{PrimaryAnswers: true, Elapsed: time.Second},
+			failover.FenceMembers{Servers: []string{"b", "c"}}},
+		{"primary back", fencing, failover.Facts{PrimaryAnswers: true, Elapsed: 2 * time.Second},
+			failover.RecordAbandon{}},
+		{"candidate not yet promoted", promoting, failover.Facts{}, failover.PromoteServer{Candidate: "b"}},
+		{"candidate promoted", promoting, failover.Facts{Promoted: true}, failover.RecordFinish{}},
+		{"candidate dead", promoting, failover.Facts{Elapsed: 3 * time.Second}, failover.RecordFinish{Failed: true}},
+	}
+
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			assert.Equal(t, test.want, failover.Next(test.group, test.facts))
+		})
+	}
+}
+
+// Guards against a failover because of one cut connection, one cut observer, or a primary that its replicas hear.
+func TestJudge(t *testing.T) {
+	t.Parallel()
+
+	up, down := failover.Report{Reachable: true, Term: 2}, failover.Report{}
+	hears := failover.Report{Reachable: true, Recovery: true, Receiving: true, Term: 2, ReceivedAgo: time.Second}
+	deaf := hears
+	deaf.ReceivedAgo = 3 * time.Second
+	fenced := hears
+	fenced.Receiving = false
+
+	tests := []struct {
+		name              string
+		primary, replicas []failover.Report
+		want              failover.Verdict
+	}{
+		{"no reports", nil, nil, failover.VerdictAlive},
+		{"one of three observers fails", []failover.Report{up, down, up}, nil, failover.VerdictAlive},
+		{"half fail", []failover.Report{up, down}, nil, failover.VerdictAlive},
+		{"two of three fail", []failover.Report{down, up, down}, nil, failover.VerdictDead},
+		{"a replica hears it", []failover.Report{down, down, down}, []failover.Report{deaf, hears}, failover.VerdictAlive},
+		{"replicas are deaf", []failover.Report{down, down, down}, []failover.Report{deaf, deaf}, failover.VerdictDead},
+		{"replicas are fenced", []failover.Report{down, down, down}, []failover.Report{fenced}, failover.VerdictDead},
+		{"no longer a primary", []failover.Report{hears, hears}, nil, failover.VerdictDead},
+	}
+
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			assert.Equal(t, test.want, failover.Judge(2, test.primary, test.replicas))
+		})
+	}
+}
--- /dev/null
+++ b/core/failover/quorum.go
@@ -0,0 +1,36 @@
+package failover
+
+import "almondgrade/core/container"
+
+// CommitQuorum is the number of members, the primary included, that must hold a write before it is acknowledged.
+func CommitQuorum(members int) int {
+	return members/2 + 1
+}
+
+// FenceQuorum is the number of members that must be fenced before a promotion. Any so many members share one
+// with every commit quorum.
+func FenceQuorum(members int) int {
+	return members - CommitQuorum(members) + 1
+}
+
+// Fenced reports whether the fenced servers are a fence quorum of a member list. An empty list asks for nothing.
+func Fenced(members []string, fenced container.Set[string]) bool {
+	return len(members) == 0 || count(members, fenced) >= FenceQuorum(len(members))
+}
+
+// Committed reports whether the servers that hold a write are a commit quorum of a member list.
+func Committed(members []string, holders container.Set[string]) bool {
+	return len(members) == 0 || count(members, holders) >= CommitQuorum(len(members))
+}
+
+func count(members []string, set container.Set[string]) int {
+	found := 0
+
+	for _, member := range members {
+		if set.Has(member) {
+			found++
+		}
+	}
+
+	return found
+}
--- /dev/null
+++ b/core/registry/member.go
@@ -0,0 +1,135 @@
+package registry
+
+import (
+	"slices"
+
+	"almondgrade/core/result"
+)
+
+// announce accepts a server's announcement if it is newer than the recorded one. Announcements may be delayed
+// and arrive after newer ones; incarnation and sequence order them.
+func (d *data) announce(server Server) Answer {
+	if server.Name == "" || server.Group == "" || !server.Address.IsValid() || server.Identity == "" {
+		return refuse(result.Protocol, "announcement of server %q lacks name, group, address or identity", server.Name)
+	}
+
+	present, known := d.Servers[server.Name]
+	if known {
+		if answer := d.conflict(*present, server); answer.Code != result.OK {
+			return answer
+		}
+
+		server.Leaving = server.Leaving || present.Leaving && server.Incarnation == present.Incarnation
+	}
+
+	d.setServer(server)
+
+	if _, exists := d.Groups[server.Group]; !exists {
+		d.Groups[server.Group] = &group{Name: server.Group, Phase: PhaseStable}
+		d.dirtyGroups.Add(server.Group)
+	}
+
+	return Answer{}
+}
+
+// conflict decides between the recorded server and an announcement under the same name.
+func (d *data) conflict(present, next Server) Answer {
+	if present.Group != next.Group {
+		return refuse(result.NameClaimed, "server %s belongs to group %s, not %s", next.Name, present.Group, next.Group)
+	}
+
+	older := next.Incarnation < present.Incarnation ||
+		next.Incarnation == present.Incarnation && next.Sequence < present.Sequence
+	if older {
+		return refuse(result.OutdatedEpoch, "announcement %d.%d of server %s is older than %d.%d",
+			next.Incarnation, next.Sequence, next.Name, present.Incarnation, present.Sequence)
+	}
+
+	// Data that were lost get a new identity and a later start. Another server that runs at the same time has
+	// the same or an earlier start, or is refused by the check of the leader that the present one still answers.
+	if present.Identity != next.Identity && next.Incarnation == present.Incarnation {
+		return refuse(result.NameClaimed, "server name %s is held by identity %s, not %s",
+			next.Name, present.Identity, next.Identity)
+	}
+
+	return Answer{}
+}
+
+func (d *data) forget(f Forget) Answer {
+	server, known := d.Servers[f.Server]
+	if !known || server.Incarnation != f.Incarnation {
+		return refuse(result.NotFound, "server %s with incarnation %d is not known", f.Server, f.Incarnation)
+	}
+
+	if g := d.Groups[server.Group]; g != nil && (slices.Contains(g.Members, f.Server) || g.Primary == f.Server) {
+		return refuse(result.ChangeInvalid, "server %s is still a member of group %s", f.Server, g.Name)
+	}
+
+	delete(d.Servers, f.Server)
+	d.dirtyServers.Add(f.Server)
+
+	return Answer{}
+}
+
+// join records a proxy. The same instance keeps its number.
+func (d *data) join(proxy Proxy) Answer {
+	if proxy.Name == "" || !proxy.Peer.IsValid() {
+		return refuse(result.Protocol, "proxy %q lacks a name or a peer address", proxy.Name)
+	}
+
+	if present, known := d.Proxies[proxy.Name]; known && present.Instance == proxy.Instance {
+		proxy.Number = present.Number
+		proxy.Draining = proxy.Draining || present.Draining
+		d.setProxy(proxy)
+
+		return Answer{Number: uint64(proxy.Number)}
+	}
+
+	proxy.Number = d.NextProxy
+	d.NextProxy++
+	d.setProxy(proxy)
+
+	return Answer{Number: uint64(proxy.Number)}
+}
+
+func (d *data) remove(r Remove) Answer {
+	present, known := d.Proxies[r.Proxy]
+	if !known || present.Instance != r.Instance {
+		return refuse(result.NotFound, "instance %d of proxy %s is not known", r.Instance, r.Proxy)
+	}
+
+	delete(d.Proxies, r.Proxy)
+	d.dirtyProxies.Add(r.Proxy)
+
+	return Answer{}
+}
+
+func (d *data) drain(r Drain) Answer {
+	if server, known := d.Servers[r.Server]; known {
+		changed := *server
+		changed.Leaving = !r.Undo
+		d.setServer(changed)
+
+		return Answer{}
+	}
+
+	if proxy, known := d.Proxies[r.Proxy]; known {
+		changed := *proxy
+		changed.Draining = !r.Undo
+		d.setProxy(changed)
+
+		return Answer{}
+	}
+
+	return refuse(result.NotFound, "no server %q and no proxy %q", r.Server, r.Proxy)
+}
+
+func (d *data) setServer(server Server) {
+	d.Servers[server.Name] = &server
+	d.dirtyServers.Add(server.Name)
+}
+
+func (d *data) setProxy(proxy Proxy) {
+	d.Proxies[proxy.Name] = &proxy
+	d.dirtyProxies.Add(proxy.Name)
+}
--- /dev/null
+++ b/core/registry/state.go
@@ -0,0 +1,225 @@
+package registry
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync/atomic"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"almondgrade/core/container"
+	"almondgrade/core/result"
+	"almondgrade/core/settings"
+)
+
+// changeMemory is the number of change ids whose answers are kept, so that a change which is sent again after a
+// lost answer gets its first answer.
+const changeMemory = 10_000
+
+// State is the replicated state. Apply, Snapshot and Restore must not run at the same time; View may be called
+// at any time.
+type State struct {
+	data data
+	view atomic.Pointer[View]
+}
+
+// data is everything that a snapshot holds.
+type data struct {
+	Index    uint64             `cbor:"1,keyasint"`
+	Number   uint64             `cbor:"2,keyasint"`
+	Author   string             `cbor:"3,keyasint"`
+	Settings []byte             `cbor:"4,keyasint"`
+	Changes  []change           `cbor:"5,keyasint"`
+	Groups   map[string]*group  `cbor:"6,keyasint"`
+	Servers  map[string]*Server `cbor:"7,keyasint"`
+	Proxies  map[string]*Proxy  `cbor:"8,keyasint"`
+	// NextProxy is the number that the next new proxy gets; numbers are not used twice.
+	NextProxy uint32 `cbor:"9,keyasint"`
+	running   settings.Running
+	known     map[string]Answer
+	// The names whose entries have changed since the last view.
+	dirtyGroups, dirtyServers, dirtyProxies container.Set[string]
+}
+
+type change struct {
+	ID     string `cbor:"1,keyasint"`
+	Answer Answer `cbor:"2,keyasint"`
+}
+
+// NewState returns an empty state. It has no configuration until the first Configure.
+func NewState() *State {
+	state := &State{}
+	state.data.init()
+	state.publish()
+
+	return state
+}
+
+// View returns the picture after the last applied command.
+func (s *State) View() *View {
+	return s.view.Load()
+}
+
+// Apply runs the command of one log entry and returns the encoded Answer.
+func (s *State) Apply(index uint64, command []byte) []byte {
+	decoded, err := DecodeCommand(command)
+	if err != nil {
+		return refuse(result.Protocol, "log entry %d: %v", index, err).Encode()
+	}
+
+	s.data.Index = index
+	answer := s.data.run(index, decoded)
+	s.publish()
+
+	return answer.Encode()
+}
+
+// Snapshot returns the whole state.
+func (s *State) Snapshot() ([]byte, error) {
+	encoded, err := cbor.Marshal(&s.data)
+
+	return encoded, eris.Wrap(err, "encode snapshot")
+}
+
+// Restore replaces the state by a snapshot.
+func (s *State) Restore(snapshot []byte) error {
+	var restored data
+	if err := cbor.Unmarshal(snapshot, &restored); err != nil {
+		return eris.Wrap(err, "decode snapshot")
+	}
+
+	restored.init()
+	restored.dirtyAll(s.data)
+
+	if len(restored.Settings) > 0 {
+		if err := json.Unmarshal(restored.Settings, &restored.running); err != nil {
+			return eris.Wrap(err, "decode settings of snapshot")
+		}
+	}
+
+	s.data = restored
+	s.publish()
+
+	return nil
+}
+
+func (d *data) init() {
+	if d.Groups == nil {
+		d.Groups = make(map[string]*group)
+	}
+
+	if d.Servers == nil {
+		d.Servers = make(map[string]*Server)
+	}
+
+	if d.Proxies == nil {
+		d.Proxies = make(map[string]*Proxy)
+	}
+
+	if d.NextProxy == 0 {
+		d.NextProxy = 1
+	}
+
+	d.clean()
+
+	d.known = make(map[string]Answer, len(d.Changes))
+	for _, c := range d.Changes {
+		d.known[c.ID] = c.Answer
+	}
+}
+
+func (d *data) clean() {
+	d.dirtyGroups = container.NewSet[string]()
+	d.dirtyServers = container.NewSet[string]()
+	d.dirtyProxies = container.NewSet[string]()
+}
+
+// dirtyAll marks every entry of the present and of the previous data as changed.
+func (d *data) dirtyAll(previous data) {
+	for _, each := range []data{*d, previous} {
+		for name := range each.Groups {
+			d.dirtyGroups.Add(name)
+		}
+
+		for name := range each.Servers {
+			d.dirtyServers.Add(name)
+		}
+
+		for name := range each.Proxies {
+			d.dirtyProxies.Add(name)
+		}
+	}
+}
+
+func (d *data) run(index uint64, command Command) Answer {
+	switch {
+	case command.Configure != nil:
+		return d.configure(*command.Configure)
+	case command.Announce != nil:
+		return d.announce(command.Announce.Server)
+	case command.Forget != nil:
+		return d.forget(*command.Forget)
+	case command.Join != nil:
+		return d.join(command.Join.Proxy)
+	case command.Remove != nil:
+		return d.remove(*command.Remove)
+	case command.Drain != nil:
+		return d.drain(*command.Drain)
+	default:
+		return d.runGroup(index, command)
+	}
+}
+
+// publish builds the next view. A map that no command has changed since the last view is shared with it.
+func (s *State) publish() {
+	last := s.view.Load()
+	if last == nil {
+		last = &View{}
+	}
+
+	s.view.Store(&View{
+		Version:       s.data.Index,
+		Configuration: s.data.Number,
+		Running:       s.data.running,
+		Settings:      s.data.Settings,
+		Author:        s.data.Author,
+		Groups:        changed(last.Groups, s.data.Groups, s.data.dirtyGroups, (*group).view),
+		Servers:       changed(last.Servers, s.data.Servers, s.data.dirtyServers, dereference[Server]),
+		Proxies:       changed(last.Proxies, s.data.Proxies, s.data.dirtyProxies, dereference[Proxy]),
+	})
+	s.data.clean()
+}
+
+// changed returns the last map with the entries of the named keys brought up to date.
+func changed[P, V any](last map[string]V, now map[string]P, dirty container.Set[string], view func(P) V) map[string]V {
+	if len(dirty) == 0 && last != nil {
+		return last
+	}
+
+	next := make(map[string]V, len(now))
+	maps.Copy(next, last)
+
+	for name := range dirty {
+		if value, found := now[name]; found {
+			next[name] = view(value)
+		} else {
+			delete(next, name)
+		}
+	}
+
+	return next
+}
+
+func dereference[V any](value *V) V {
+	return *value
+}
+
+func refuse(code result.Code, format string, args ...any) Answer {
+	return Answer{Code: code, Reason: result.New(code, format, args...).Reason}
+}
+
+func without(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+}
--- a/core/registry/view.go
+++ b/core/registry/view.go
@@ -15,6 +15,10 @@
 	// Configuration is the number of the running configuration.
 	Configuration uint64
 	Running       settings.Running
+	// Settings is the text of Running. It is set only where the state is replicated, not on proxies.
+	Settings []byte
+	// Author made the last change of the configuration.
+	Author string
 	Groups        map[string]Group
 	Servers       map[string]Server
 	Proxies       map[string]Proxy
@@ -40,6 +44,10 @@
 	Phase   Phase
 	// Candidate is the server that is being promoted to Term+1.
 	Candidate string
+	// Target is the server that a planned move wants to promote.
+	Target string
+	// Attempt is the log index at which the last fencing began.
+	Attempt uint64
 	// Coordinator is the proxy that coordinates the group, in the given epoch.
 	Coordinator string
 	Epoch       uint64
@@ -47,6 +55,11 @@
 	Members []string
 	// Previous are the members before the last change, while it is not in force everywhere.
 	Previous []string
+	// Changed is the log index of the last change of members.
+	Changed uint64
+	// Identities are the identities of the members at the time they were added. A server whose identity differs
+	// has lost its data and does not count.
+	Identities map[string]string
 }
 
 // Server is a backend server that announced itself.
--- /dev/null
+++ b/internal/controller/coordinate.go
@@ -0,0 +1,87 @@
+package controller
+
+import (
+	"context"
+	"hash/fnv"
+
+	"almondgrade/core/registry"
+)
+
+// assignCoordinators names a coordinator for every group whose coordinator is gone or shutting down. A group keeps
+// its coordinator otherwise: a change costs the permits and observations that the old one holds.
+func (l *leadership) assignCoordinators(ctx context.Context) {
+	view := l.controller.view()
+	centres := serverCentres(view)
+
+	for _, group := range view.Groups {
+		if present, found := view.Proxies[group.Coordinator]; found && !present.Draining {
+			continue
+		}
+
+		chosen := l.chooseCoordinator(view, group, centres[group.Name])
+		if chosen == "" || chosen == group.Coordinator {
+			continue
+		}
+
+		l.controller.record(ctx, "coordinator assigned", registry.Command{Coordinate: &registry.Coordinate{
+			Group: group.Name, Proxy: chosen, Epoch: group.Epoch,
+		}}, "group", group.Name, "proxy", chosen)
+	}
+}
+
+// chooseCoordinator picks the proxy with the highest rendezvous hash, among those in the primary's data centre if
+// there are any, then among those in a data centre of the group, then among all.
+func (l *leadership) chooseCoordinator(view *registry.View, group registry.Group, centres map[string]bool) string {
+	best, bestRank, bestHash := "", -1, uint64(0)
+	primary := view.Servers[group.Primary].Centre
+
+	for _, proxy := range view.Proxies {
+		if proxy.Draining || !l.live(proxy) {
+			continue
+		}
+
+		rank := 0
+		if centres[proxy.Centre] {
+			rank = 1
+		}
+
+		if proxy.Centre != "" && proxy.Centre == primary {
+			rank = 2
+		}
+
+		hash := rendezvous(group.Name, proxy.Name)
+		if rank > bestRank || rank == bestRank && hash > bestHash {
+			best, bestRank, bestHash = proxy.Name, rank, hash
+		}
+	}
+
+	return best
+}
+
+func serverCentres(view *registry.View) map[string]map[string]bool {
+	centres := make(map[string]map[string]bool)
+
+	for _, server := range view.Servers {
+		if centres[server.Group] == nil {
+			centres[server.Group] = make(map[string]bool)
+		}
+
+		centres[server.Group][server.Centre] = true
+	}
+
+	return centres
+}
+
+func rendezvous(group, proxy string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(group))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(proxy))
+
+	// FNV's high bits hardly change with the last bytes; the multiplication spreads them.
+	const spread = 0x9E3779B97F4A7C15
+
+	mixed := hash.Sum64() * spread
+
+	return mixed ^ mixed>>32
+}
--- /dev/null
+++ b/internal/controller/move.go
@@ -0,0 +1,100 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"almondgrade/core/position"
+	"almondgrade/core/registry"
+	"almondgrade/io/backend"
+)
+
+// prepareMove makes the primary refuse new writes and returns the member that first has everything it holds.
+func (w *worker) prepareMove(ctx context.Context, view *registry.View, group registry.Group) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+
+	replicas := w.openReplicas(ctx, view, group)
+
+	defer func() {
+		for _, admin := range replicas {
+			admin.Close()
+		}
+	}()
+
+	if len(replicas) == 0 {
+		return "", eris.New("no replica that stays can be reached")
+	}
+
+	primary, err := w.lead.controller.admin(ctx, view.Servers[group.Primary])
+	if err != nil {
+		return "", err
+	}
+	defer primary.Close()
+
+	if err := primary.ReadOnly(ctx, true); err != nil {
+		return "", err //nolint:wrapcheck // It names the statement.
+	}
+
+	for {
+		// Open transactions may still write after new ones have become read-only, so the end is read each time.
+		seen, err := primary.Observe(ctx)
+		if err != nil {
+			return "", err //nolint:wrapcheck // It names the statement.
+		}
+
+		if target := caughtUp(ctx, replicas, seen.Insert); target != "" {
+			return target, nil
+		}
+
+		if err := pause(ctx, 10*time.Millisecond); err != nil {
+			return "", eris.Wrapf(err, "no replica reached %s", seen.Insert)
+		}
+	}
+}
+
+// openReplicas connects to the members that could become primary.
+func (w *worker) openReplicas(ctx context.Context, view *registry.View, group registry.Group) map[string]*backend.Admin {
+	opened := make(map[string]*backend.Admin)
+
+	for _, name := range group.Members {
+		server, found := view.Servers[name]
+		if !found || name == group.Primary || server.Leaving || server.Identity != group.Identities[name] {
+			continue
+		}
+
+		if admin, err := w.lead.controller.admin(ctx, server); err == nil {
+			opened[name] = admin
+		}
+	}
+
+	return opened
+}
+
+func caughtUp(ctx context.Context, replicas map[string]*backend.Admin, end position.LSN) string {
+	for name, admin := range replicas {
+		if seen, err := admin.Observe(ctx); err == nil && seen.Recovery && seen.Received >= end {
+			return name
+		}
+	}
+
+	return ""
+}
+
+// allowWrites ends the refusal of writes after a move that was given up.
+func (w *worker) allowWrites(ctx context.Context, server registry.Server) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+
+	admin, err := w.lead.controller.admin(ctx, server)
+	if err != nil {
+		return
+	}
+	defer admin.Close()
+
+	if err := admin.ReadOnly(ctx, false); err != nil {
+		w.lead.controller.options.Logger.Warn("could not allow writes again", "server", server.Name, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/controller/operate.go
@@ -0,0 +1,135 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+
+	"almondgrade/core/registry"
+	"almondgrade/core/result"
+	"almondgrade/core/settings"
+	"almondgrade/io/control"
+	"almondgrade/io/control/controlpb"
+)
+
+// Apply implements the Control service.
+func (c *Controller) Apply(ctx context.Context, request *controlpb.Change) (*controlpb.ChangeReply, error) {
+	if _, err := c.leader(); err != nil {
+		return nil, statusOf(err)
+	}
+
+	if err := c.confirmed(ctx); err != nil {
+		return nil, statusOf(err)
+	}
+
+	running, err := checkRunning(request.GetSettings())
+	if err != nil {
+		return c.refused(result.ChangeInvalid, err.Error()), nil
+	}
+
+	view := c.view()
+	difference := settings.Difference(view.Running, running)
+
+	if request.GetDry() {
+		return &controlpb.ChangeReply{Number: view.Configuration, Author: view.Author, Difference: difference}, nil
+	}
+
+	answer, err := c.propose(ctx, registry.Command{Configure: &registry.Configure{
+		ID: request.GetId(), Base: request.GetBase(), Author: request.GetAuthor(), Settings: request.GetSettings(),
+	}})
+	if err != nil {
+		return nil, statusOf(err)
+	}
+
+	reply := &controlpb.ChangeReply{
+		Code: uint32(answer.Code), Reason: answer.Reason, Number: answer.Number, Author: answer.Author,
+		Difference: difference, Repeated: answer.Repeated,
+	}
+
+	if answer.Code != result.OK {
+		c.count(answer.Code.Describe().Name)
+		// The difference that helps is the one to the change that was accepted instead.
+		reply.Difference = settings.Difference(c.view().Running, running)
+	}
+
+	c.options.Logger.Info("configuration change", "id", request.GetId(), "base", request.GetBase(),
+		"author", request.GetAuthor(), "code", reply.GetCode(), "number", reply.GetNumber(),
+		"repeated", reply.GetRepeated())
+
+	return reply, nil
+}
+
+func (c *Controller) refused(code result.Code, reason string) *controlpb.ChangeReply {
+	c.count(code.Describe().Name)
+
+	return &controlpb.ChangeReply{Code: uint32(code), Reason: reason}
+}
+
+// checkRunning reads and checks the settings of a change.
+func checkRunning(text []byte) (settings.Running, error) {
+	running := settings.Defaults()
+	if err := json.Unmarshal(text, &running); err != nil {
+		return running, result.New(result.ChangeInvalid, "settings: %w", err)
+	}
+
+	return running, nil
+}
+
+// Status implements the Control service. Its answer is confirmed by a quorum: a process behind a partition refuses
+// rather than describe an old state.
+func (c *Controller) Status(ctx context.Context, _ *controlpb.StatusRequest) (*controlpb.StatusReply, error) {
+	lead, err := c.leader()
+	if err != nil {
+		return nil, statusOf(err)
+	}
+
+	if err := c.confirmed(ctx); err != nil {
+		return nil, statusOf(err)
+	}
+
+	view := c.view()
+	reply := &controlpb.StatusReply{
+		Version: view.Version, Configuration: view.Configuration, Author: view.Author, Settings: view.Settings,
+		Leader: c.options.Name,
+	}
+
+	for _, group := range view.Groups {
+		reply.Groups = append(reply.Groups, control.GroupMessage(group))
+	}
+
+	for _, server := range view.Servers {
+		reply.Servers = append(reply.Servers, control.ServerMessage(server))
+	}
+
+	for _, proxy := range view.Proxies {
+		last := lead.lease(proxy)
+		reply.Proxies = append(reply.Proxies, &controlpb.ProxyStatus{
+			Proxy: control.ProxyMessage(proxy), Configuration: last.configuration, Version: last.version,
+			RenewedMillisAgo: uint64(c.options.Timer.Now().Sub(last.renewed).Milliseconds()), Live: lead.live(proxy),
+		})
+	}
+
+	if c.options.Members != nil {
+		reply.Members = c.options.Members()
+	}
+
+	return reply, nil
+}
+
+// Drain implements the Control service.
+func (c *Controller) Drain(ctx context.Context, request *controlpb.DrainRequest) (*controlpb.DrainReply, error) {
+	if _, err := c.leader(); err != nil {
+		return nil, statusOf(err)
+	}
+
+	answer, err := c.propose(ctx, registry.Command{Drain: &registry.Drain{
+		Server: request.GetServer(), Proxy: request.GetProxy(), Undo: request.GetUndo(),
+	}})
+	if err != nil {
+		return nil, statusOf(err)
+	}
+
+	c.options.Logger.Info("drain", "server", request.GetServer(), "proxy", request.GetProxy(),
+		"undo", request.GetUndo(), "code", answer.Code)
+
+	return &controlpb.DrainReply{Code: uint32(answer.Code), Reason: answer.Reason}, nil
+}
--- /dev/null
+++ b/internal/controller/reconcile.go
@@ -0,0 +1,239 @@
+package controller
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"almondgrade/core/container"
+	"almondgrade/core/registry"
+	"almondgrade/io/backend"
+)
+
+// bootstrap names the first primary of a group. It waits while no server, or more than one, says it is a primary:
+// choosing between two would be a promotion without a quorum.
+func (w *worker) bootstrap(ctx context.Context, view *registry.View, group registry.Group) time.Duration {
+	var primaries []registry.Server
+
+	for _, server := range view.Servers {
+		if server.Group == group.Name && !server.Recovery && !server.Leaving {
+			primaries = append(primaries, server)
+		}
+	}
+
+	if len(primaries) != 1 {
+		if len(primaries) > 1 {
+			w.lead.controller.options.Logger.Error("group has several primaries and no history; stop all but one",
+				"group", group.Name, "servers", names(primaries))
+		}
+
+		return retryPeriod
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+
+	admin, err := w.lead.controller.admin(ctx, primaries[0])
+	if err != nil {
+		return retryPeriod
+	}
+	defer admin.Close()
+
+	if err := admin.Mark(ctx, primaries[0].Name, 1); err != nil {
+		return retryPeriod
+	}
+
+	w.lead.controller.record(ctx, "first primary recorded", registry.Command{Bootstrap: &registry.Bootstrap{
+		Group: group.Name, Primary: primaries[0].Name,
+	}}, "group", group.Name, "primary", primaries[0].Name)
+
+	return busyPeriod
+}
+
+// reconcile attaches the replicas of a stable group to its primary and brings the member list up to date.
+func (w *worker) reconcile(ctx context.Context, view *registry.View, group registry.Group) time.Duration {
+	if len(group.Previous) > 0 {
+		if !w.lead.inForce(group.Changed) {
+			return busyPeriod
+		}
+
+		w.lead.controller.record(ctx, "members settled", registry.Command{Settle: &registry.Settle{
+			Group: group.Name, Version: group.Changed,
+		}}, "group", group.Name, "members", group.Members)
+
+		return busyPeriod
+	}
+
+	if w.dropLost(ctx, view, group) {
+		return busyPeriod
+	}
+
+	primary, err := w.observePrimary(ctx, view, group)
+	if err != nil {
+		return retryPeriod
+	}
+
+	settled := true
+
+	for _, server := range view.Servers {
+		if server.Group == group.Name && server.Name != group.Primary && !server.Leaving {
+			settled = w.reconcileReplica(ctx, view, group, server, primary) && settled
+		}
+	}
+
+	if w.dropLeaving(ctx, view, group) || !settled {
+		return retryPeriod
+	}
+
+	return sweepPeriod
+}
+
+// dropLost takes a member out whose data were lost. It must not be attached before: the coordinator would count
+// positions that it reports while it is a member.
+func (w *worker) dropLost(ctx context.Context, view *registry.View, group registry.Group) bool {
+	for _, name := range group.Members {
+		server, found := view.Servers[name]
+		if !found || name == group.Primary || server.Identity == group.Identities[name] {
+			continue
+		}
+
+		return w.lead.controller.record(ctx, "member with lost data removed", registry.Command{
+			Members: &registry.ChangeMembers{Group: group.Name, Term: group.Term, Remove: name},
+		}, "group", group.Name, "server", name)
+	}
+
+	return false
+}
+
+// dropLeaving takes leaving servers out of the quorums and then forgets them.
+func (w *worker) dropLeaving(ctx context.Context, view *registry.View, group registry.Group) bool {
+	for _, server := range view.Servers {
+		if server.Group != group.Name || !server.Leaving || server.Name == group.Primary {
+			continue
+		}
+
+		if slices.Contains(group.Members, server.Name) {
+			return w.lead.controller.record(ctx, "leaving member removed", registry.Command{
+				Members: &registry.ChangeMembers{Group: group.Name, Term: group.Term, Remove: server.Name},
+			}, "group", group.Name, "server", server.Name)
+		}
+	}
+
+	return false
+}
+
+// observePrimary asks the primary for its position and makes it carry its term.
+func (w *worker) observePrimary(ctx context.Context, view *registry.View, group registry.Group) (backend.Observation, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+
+	admin, err := w.lead.controller.admin(ctx, view.Servers[group.Primary])
+	if err != nil {
+		return backend.Observation{}, err
+	}
+	defer admin.Close()
+
+	seen, err := admin.Observe(ctx)
+	if err != nil {
+		return seen, err //nolint:wrapcheck // It names the statement.
+	}
+
+	if seen.Recovery {
+		return seen, eris.Errorf("server %s is recorded as primary of group %s but is a replica", group.Primary, group.Name)
+	}
+
+	if seen.Follow.Term < group.Term {
+		err = admin.Mark(ctx, group.Primary, group.Term)
+	}
+
+	return seen, err //nolint:wrapcheck // It names the statement.
+}
+
+// reconcileReplica attaches one server and adds it to the members once it has caught up. It returns whether the
+// server is as it should be.
+func (w *worker) reconcileReplica(
+	ctx context.Context, view *registry.View, group registry.Group, server registry.Server, primary backend.Observation,
+) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+
+	admin, err := w.lead.controller.admin(ctx, server)
+	if err != nil {
+		return false
+	}
+	defer admin.Close()
+
+	seen, err := admin.Observe(ctx)
+	if err != nil || !seen.Recovery {
+		// A primary of an old term waits for the platform, which rewinds it.
+		return false
+	}
+
+	address := view.Servers[group.Primary].Address
+	follows := seen.Follow.Term == group.Term && !seen.Follow.Fenced && seen.Follow.Primary == address
+
+	if !follows {
+		return w.attach(ctx, admin, group, server, seen, address)
+	}
+
+	if slices.Contains(group.Members, server.Name) {
+		return true
+	}
+
+	if seen.Received < primary.Insert {
+		return false
+	}
+
+	return w.lead.controller.record(ctx, "member added", registry.Command{Members: &registry.ChangeMembers{
+		Group: group.Name, Term: group.Term, Add: server.Name, Identity: server.Identity,
+	}}, "group", group.Name, "server", server.Name)
+}
+
+// attach makes a server follow the primary if its log is a prefix of the primary's. A server that has received more
+// than survived must be rewound by the platform first: attached as it is, its position would not tell what it holds.
+func (w *worker) attach(
+	ctx context.Context, admin *backend.Admin, group registry.Group, server registry.Server, seen backend.Observation,
+	address netip.AddrPort,
+) bool {
+	if !prefix(group, seen) {
+		w.lead.controller.count("attach_needs_rewind")
+		w.lead.controller.options.Logger.Warn("server must be rewound before it can be attached", "group", group.Name,
+			"server", server.Name, "term", seen.Follow.Term, "received", seen.Received)
+
+		return false
+	}
+
+	if err := admin.Attach(ctx, server.Name, group.Term, address); err != nil {
+		w.lead.controller.options.Logger.Warn("attaching failed", "group", group.Name, "server", server.Name, "error", err)
+
+		return false
+	}
+
+	w.lead.controller.options.Logger.Info("server attached", "group", group.Name, "server", server.Name, "term", group.Term)
+
+	return false
+}
+
+// prefix reports whether what a replica has received is a prefix of the log of the present term. A server that was
+// attached in some term holds a prefix of that term's log, so that only later terms can have discarded some of it.
+func prefix(group registry.Group, seen backend.Observation) bool {
+	for _, begin := range group.History.Begins() {
+		if begin.Term > max(seen.Follow.Term, 1) && seen.Received > begin.LSN {
+			return false
+		}
+	}
+
+	return true
+}
+
+func names(servers []registry.Server) []string {
+	set := container.NewSet[string]()
+	for _, server := range servers {
+		set.Add(server.Name)
+	}
+
+	return container.Sorted(set)
+}
--- /dev/null
+++ b/internal/controller/watch.go
@@ -0,0 +1,226 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"almondgrade/core/registry"
+	"almondgrade/core/result"
+	"almondgrade/io/control"
+	"almondgrade/io/control/controlpb"
+)
+
+// updates shares the updates between the same two pictures among all streams, which mostly follow each other
+// closely, so that the work of a change does not grow with the number of proxies.
+type updates struct {
+	mutex  sync.Mutex
+	to     uint64
+	deltas map[uint64]*controlpb.Update
+}
+
+// delta returns the update from one picture to another. Callers must not change it.
+func (u *updates) delta(from, to control.Picture) (*controlpb.Update, error) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+
+	if u.to != to.View.Version {
+		u.to = to.View.Version
+		u.deltas = make(map[uint64]*controlpb.Update)
+	}
+
+	base := uint64(0)
+	if from.View != nil {
+		base = from.View.Version
+	}
+
+	if present, found := u.deltas[base]; found {
+		return present, nil
+	}
+
+	var (
+		update *controlpb.Update
+		err    error
+	)
+
+	if from.View == nil {
+		update = control.Full(to)
+	} else {
+		update, err = control.Delta(from, to)
+	}
+
+	if err == nil {
+		u.deltas[base] = update
+	}
+
+	return update, err
+}
+
+// Watch implements the Control service.
+func (c *Controller) Watch(stream controlpb.Control_WatchServer) error {
+	lead, err := c.leader()
+	if err != nil {
+		return statusOf(err)
+	}
+
+	watch := &watch{controller: c, lead: lead, stream: stream}
+
+	return statusOf(watch.run())
+}
+
+// watch is one proxy's stream.
+type watch struct {
+	controller *Controller
+	lead       *leadership
+	stream     controlpb.Control_WatchServer
+	// sent is the picture that the proxy has after everything that was sent.
+	sent  control.Picture
+	proxy registry.Proxy
+}
+
+func (w *watch) run() error {
+	ctx, cancel := context.WithCancelCause(w.stream.Context())
+	defer cancel(nil)
+
+	renewals := make(chan *controlpb.Renew)
+
+	go func() {
+		for {
+			renew, err := w.stream.Recv()
+			if err != nil {
+				cancel(err)
+
+				return
+			}
+
+			select {
+			case renewals <- renew:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+
+	for {
+		changed := w.controller.options.Log.Changed()
+
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-w.lead.ctx.Done():
+			return result.New(result.NoQuorum, "this control process no longer leads")
+		case renew := <-renewals:
+			if err := w.renew(ctx, renew); err != nil {
+				return err
+			}
+		case <-changed:
+			if err := w.push(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// renew answers a renewal with the state of a leadership that was confirmed after it arrived.
+func (w *watch) renew(ctx context.Context, renew *controlpb.Renew) error {
+	proxy, err := control.ProxyOf(renew.GetProxy())
+	if err != nil {
+		return result.New(result.Protocol, "renewal: %w", err)
+	}
+
+	number, err := w.join(ctx, proxy)
+	if err != nil {
+		return err
+	}
+
+	w.proxy = proxy
+	w.lead.renew(proxy, renew.GetVersion(), renew.GetConfiguration())
+
+	if err := w.controller.confirmed(ctx); err != nil {
+		return err
+	}
+
+	if renew.GetFull() {
+		w.sent = control.Picture{}
+	}
+
+	return w.send(renew.GetSequence(), number, uint64(w.lead.leaseDuration().Milliseconds()))
+}
+
+// join records the proxy unless the log already has it as it is.
+func (w *watch) join(ctx context.Context, proxy registry.Proxy) (uint32, error) {
+	present, found := w.controller.view().Proxies[proxy.Name]
+	same := found && present.Instance == proxy.Instance && present.Peer == proxy.Peer &&
+		present.Centre == proxy.Centre && (present.Draining || !proxy.Draining)
+
+	if same {
+		return present.Number, nil
+	}
+
+	answer, err := w.controller.propose(ctx, registry.Command{Join: &registry.Join{Proxy: proxy}})
+	if err != nil {
+		return 0, err
+	}
+
+	return uint32(answer.Number), answer.Err()
+}
+
+// push sends what has changed, if the proxy has had its first update.
+func (w *watch) push() error {
+	if w.sent.View == nil || w.controller.view().Version == w.sent.View.Version {
+		return nil
+	}
+
+	return w.send(0, 0, 0)
+}
+
+func (w *watch) send(sequence uint64, number uint32, leaseMillis uint64) error {
+	next := w.controller.picture()
+
+	shared, err := w.controller.updates.delta(w.sent, next)
+	if err != nil {
+		return err
+	}
+
+	update := &controlpb.Update{
+		Sequence: sequence, Number: number, LeaseMillis: leaseMillis,
+		Version: shared.GetVersion(), Full: shared.GetFull(), Configuration: shared.GetConfiguration(),
+		Settings: shared.GetSettings(), Groups: shared.GetGroups(), Servers: shared.GetServers(),
+		Proxies: shared.GetProxies(), RemovedServers: shared.GetRemovedServers(),
+		RemovedProxies: shared.GetRemovedProxies(), Patch: shared.GetPatch(), PatchBase: shared.GetPatchBase(),
+		Checksum: shared.GetChecksum(),
+	}
+
+	w.sent = next
+
+	return w.stream.Send(update) //nolint:wrapcheck // The stream ends with it.
+}
+
+// picture returns the present view together with the text of its settings.
+func (c *Controller) picture() control.Picture {
+	view := c.view()
+
+	return control.Picture{View: view, Settings: view.Settings}
+}
+
+// statusOf turns an error with a code into a gRPC status. A client reads the leader's address from the message of
+// FailedPrecondition.
+func statusOf(err error) error {
+	var failure *result.Error
+
+	if err == nil || !errors.As(err, &failure) {
+		return err
+	}
+
+	switch failure.Code {
+	case result.NotLeader:
+		return status.Error(codes.FailedPrecondition, failure.Reason)
+	case result.NoQuorum:
+		return status.Error(codes.Unavailable, failure.Error())
+	default:
+		return status.Error(codes.InvalidArgument, failure.Error())
+	}
+}
--- a/io/backend/admin.go
+++ b/io/backend/admin.go
@@ -159,8 +159,13 @@
 	return seen.Received, nil
 }
 
-// Promote makes a replica the primary of a term. It is idempotent.
+// Promote makes a replica the primary of a term. It is idempotent. A server that an earlier planned move left
+// read-only accepts writes again.
 func (a *Admin) Promote(ctx context.Context, name string, term position.Term) error {
+	if err := a.ReadOnly(ctx, false); err != nil {
+		return err
+	}
+
 	if err := a.setFollow(ctx, Follow{Term: term, Name: name}); err != nil {
 		return err
 	}
