--- a/core/batch/rounds.go
+++ b/core/batch/rounds.go
@@ -49,7 +49,7 @@
 	defer r.mutex.Unlock()
 
 	if r.next == nil {
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancel(context.Background()) //nolint:gosec // loop and leave call it.
 		r.next = &round[T]{done: make(chan struct{}), ctx: ctx, cancel: cancel}
 	}
 
--- a/core/registry/view.go
+++ b/core/registry/view.go
@@ -18,10 +18,10 @@
 	// Settings is the text of Running. It is set only where the state is replicated, not on proxies.
 	Settings []byte
 	// Author made the last change of the configuration.
-	Author string
-	Groups        map[string]Group
-	Servers       map[string]Server
-	Proxies       map[string]Proxy
+	Author  string
+	Groups  map[string]Group
+	Servers map[string]Server
+	Proxies map[string]Proxy
 }
 
 // Phase is the stage of a group's failover.
--- a/internal/controller/operate.go
+++ b/internal/controller/operate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
@@ -21,9 +20,9 @@
 		return nil, statusOf(err)
 	}
 
-	running, err := checkRunning(request.GetSettings())
-	if err != nil {
-		return c.refused(result.ChangeInvalid, err.Error()), nil
+	running, faults := settings.CheckRunning(request.GetSettings())
+	if len(faults) > 0 {
+		return c.refused(result.ChangeInvalid, faults.Error()), nil
 	}
 
 	view := c.view()
@@ -64,16 +63,6 @@
 	return &controlpb.ChangeReply{Code: uint32(code), Reason: reason}
 }
 
-// checkRunning reads and checks the settings of a change.
-func checkRunning(text []byte) (settings.Running, error) {
-	running := settings.Defaults()
-	if err := json.Unmarshal(text, &running); err != nil {
-		return running, result.New(result.ChangeInvalid, "settings: %w", err)
-	}
-
-	return running, nil
-}
-
 // Status implements the Control service. Its answer is confirmed by a quorum: a process behind a partition refuses
 // rather than describe an old state.
 func (c *Controller) Status(ctx context.Context, _ *controlpb.StatusRequest) (*controlpb.StatusReply, error) {
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -31,8 +31,6 @@
 	suspected map[string]time.Time
 
 	attempt attempt
-	// seen is the version of the view in which the group was last found as it should be.
-	seen uint64
 }
 
 // wakeWorkers starts a worker for each new group and wakes those whose group or servers have changed.
