--- /dev/null
+++ b/io/disk/files.go
@@ -0,0 +1,129 @@
+package disk
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// Files are the file operations that a Log uses. Tests replace them to inject failures.
+type Files interface {
+	// Mkdir creates a folder and its parents unless they exist.
+	Mkdir(path string) error
+	// List returns the names in a folder in ascending order.
+	List(folder string) ([]string, error)
+	// Read returns the content of a file. A missing file is reported as fs.ErrNotExist.
+	Read(path string) ([]byte, error)
+	// Create opens a new or emptied file for writing.
+	Create(path string) (File, error)
+	// Truncate shortens a file and syncs it.
+	Truncate(path string, size int64) error
+	// Rename replaces a file by another.
+	Rename(from, to string) error
+	// Remove deletes a file.
+	Remove(path string) error
+	// SyncFolder makes creations, renames and removals in a folder durable.
+	SyncFolder(folder string) error
+	// Lock takes a lock that ends with the process, or reports that another process holds it.
+	Lock(path string) (io.Closer, error)
+}
+
+// File is a file that is written from the beginning to the end.
+type File interface {
+	io.WriteCloser
+	// Sync makes everything written durable.
+	Sync() error
+}
+
+// ErrLocked is returned by Lock while another process uses the folder.
+var ErrLocked = errors.New("another process uses the data folder")
+
+const (
+	folderMode = 0o750
+	fileMode   = 0o640
+)
+
+// System is the Files of the operating system.
+type System struct{}
+
+// Mkdir implements Files.
+func (System) Mkdir(path string) error {
+	return os.MkdirAll(path, folderMode)
+}
+
+// List implements Files.
+func (System) List(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	names := make([]string, 0, len(entries))
+
+	for _, entry := range entries {
+		names = append(names, entry.Name())
+	}
+
+	return names, err
+}
+
+// Read implements Files.
+func (System) Read(path string) ([]byte, error) {
+	return os.ReadFile(path)
+}
+
+// Create implements Files.
+func (System) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+}
+
+// Truncate implements Files.
+func (System) Truncate(path string, size int64) error {
+	file, err := os.OpenFile(path, os.O_WRONLY, fileMode)
+	if err != nil {
+		return err
+	}
+
+	err = file.Truncate(size)
+	if err == nil {
+		err = file.Sync()
+	}
+
+	return errors.Join(err, file.Close())
+}
+
+// Rename implements Files.
+func (System) Rename(from, to string) error {
+	return os.Rename(from, to)
+}
+
+// Remove implements Files.
+func (System) Remove(path string) error {
+	return os.Remove(path)
+}
+
+// SyncFolder implements Files.
+func (System) SyncFolder(folder string) error {
+	opened, err := os.Open(filepath.Clean(folder))
+	if err != nil {
+		return err
+	}
+
+	return errors.Join(opened.Sync(), opened.Close())
+}
+
+// Lock implements Files.
+func (System) Lock(path string) (io.Closer, error) {
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, err
+	}
+
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			err = ErrLocked
+		}
+
+		return nil, errors.Join(err, file.Close())
+	}
+
+	return file, nil
+}
--- /dev/null
+++ b/io/disk/frame.go
@@ -0,0 +1,104 @@
+package disk
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+)
+
+// A frame is: magic, length of the payload, CRC-32C of salt, length and payload, then the payload. The salt of each
+// segment is drawn at random, so that no payload can contain what looks like an intact frame.
+const (
+	frameMagic  = 0x41474631 // "AGF1"
+	frameHeader = 12
+	// frameLimit bounds the payload, so that a damaged length is noticed early.
+	frameLimit = 1 << 30
+)
+
+// A segment begins with a header that is synced before any frame is written.
+const (
+	segmentMagic  = "AGSEG1\r\n"
+	segmentHeader = 28
+)
+
+//nolint:gochecknoglobals // The table is constant.
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func checksum(salt uint64, payload []byte) uint32 {
+	var prefix [12]byte
+
+	binary.BigEndian.PutUint64(prefix[:], salt)
+	binary.BigEndian.PutUint32(prefix[8:], uint32(len(payload)))
+
+	return crc32.Update(crc32.Checksum(prefix[:], castagnoli), castagnoli, payload)
+}
+
+func frame(salt uint64, payload []byte) []byte {
+	framed := make([]byte, frameHeader, frameHeader+len(payload))
+	binary.BigEndian.PutUint32(framed, frameMagic)
+	binary.BigEndian.PutUint32(framed[4:], uint32(len(payload)))
+	binary.BigEndian.PutUint32(framed[8:], checksum(salt, payload))
+
+	return append(framed, payload...)
+}
+
+// unframe returns the payload of the frame at the beginning of data and the frame's size, or false if it isn't
+// intact.
+func unframe(salt uint64, data []byte) (payload []byte, size int, intact bool) {
+	if len(data) < frameHeader || binary.BigEndian.Uint32(data) != frameMagic {
+		return nil, 0, false
+	}
+
+	length := binary.BigEndian.Uint32(data[4:])
+	if length > frameLimit || int(length) > len(data)-frameHeader {
+		return nil, 0, false
+	}
+
+	payload = data[frameHeader : frameHeader+int(length)]
+	if checksum(salt, payload) != binary.BigEndian.Uint32(data[8:]) {
+		return nil, 0, false
+	}
+
+	return payload, frameHeader + int(length), true
+}
+
+// intactAfter reports whether an intact frame begins anywhere past the first byte of data.
+func intactAfter(salt uint64, data []byte) bool {
+	var magic [4]byte
+
+	binary.BigEndian.PutUint32(magic[:], frameMagic)
+
+	for len(data) > 1 {
+		next := bytes.Index(data[1:], magic[:])
+		if next < 0 {
+			return false
+		}
+
+		data = data[1+next:]
+		if _, _, intact := unframe(salt, data); intact {
+			return true
+		}
+	}
+
+	return false
+}
+
+func header(number, salt uint64) []byte {
+	content := make([]byte, 0, segmentHeader)
+	content = append(content, segmentMagic...)
+	content = binary.BigEndian.AppendUint64(content, number)
+	content = binary.BigEndian.AppendUint64(content, salt)
+
+	return binary.BigEndian.AppendUint32(content, crc32.Checksum(content, castagnoli))
+}
+
+// parseHeader returns the salt of a segment.
+func parseHeader(number uint64, data []byte) (salt uint64, intact bool) {
+	if len(data) < segmentHeader {
+		return 0, false
+	}
+
+	salt = binary.BigEndian.Uint64(data[16:])
+
+	return salt, bytes.Equal(data[:segmentHeader], header(number, salt))
+}
--- /dev/null
+++ b/io/disk/identity.go
@@ -0,0 +1,83 @@
+package disk
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+
+	"almondgrade/core/replog"
+)
+
+// identitySalt takes the place of a segment's salt in the frame of the identity file.
+const identitySalt = 0
+
+// Identity tells who the member is whose log a folder holds.
+type Identity struct {
+	Name string    `json:"name"`
+	ID   replog.ID `json:"id"`
+	// Group is the group of members that the log belongs to, or 0 before it is known.
+	Group uint64 `json:"group,omitempty"`
+	// Founding are the members that form a new group, if this member is one of them.
+	Founding []replog.Member `json:"founding,omitempty"`
+	// Active reports whether the group is formed.
+	Active bool `json:"active,omitempty"`
+}
+
+func (l *Log) readIdentity() error {
+	path := l.path(identityName)
+
+	content, err := l.files.Read(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+
+	if err != nil {
+		return l.fail("read", path, err)
+	}
+
+	payload, size, intact := unframe(identitySalt, content)
+
+	var identity Identity
+	if !intact || size != len(content) || json.Unmarshal(payload, &identity) != nil || identity.ID == 0 {
+		return l.corrupt(path, 0, "the identity can't be read")
+	}
+
+	l.identity = &identity
+
+	return nil
+}
+
+// Identity returns the member's identity. It is missing in a new folder, which is also what a lost disk looks like.
+func (l *Log) Identity() (Identity, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if l.identity == nil {
+		return Identity{}, false
+	}
+
+	return *l.identity, true
+}
+
+// Identify stores the member's identity durably.
+func (l *Log) Identify(identity Identity) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if l.failed != nil {
+		return l.failed
+	}
+
+	content, err := json.Marshal(identity)
+	if err != nil {
+		return l.fail("encode", identityName, err)
+	}
+
+	if err := l.replace(identityName, frame(identitySalt, content)); err != nil {
+		return err
+	}
+
+	l.identity = &identity
+
+	return nil
+}
--- /dev/null
+++ b/io/disk/recover.go
@@ -0,0 +1,267 @@
+package disk
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"almondgrade/core/replog"
+)
+
+// recover reads the folder and begins a new segment.
+func (l *Log) recover() error {
+	if err := l.readIdentity(); err != nil {
+		return err
+	}
+
+	names, err := l.files.List(l.folder)
+	if err != nil {
+		return l.fail("list", l.folder, err)
+	}
+
+	var numbers, snapshots []uint64
+
+	for _, name := range names {
+		if strings.HasSuffix(name, temporary) {
+			if err := l.files.Remove(l.path(name)); err != nil {
+				return l.fail("remove", l.path(name), err)
+			}
+		}
+
+		if number, ok := parseName(segmentName, name); ok {
+			numbers = append(numbers, number)
+		}
+
+		if index, ok := parseName(snapshotName, name); ok {
+			snapshots = append(snapshots, index)
+		}
+	}
+
+	if len(snapshots) > 0 {
+		if err := l.readSnapshot(slices.Max(snapshots)); err != nil {
+			return err
+		}
+	}
+
+	if err := l.readSegments(numbers); err != nil {
+		return err
+	}
+
+	if err := l.checkIdentity(len(numbers)); err != nil {
+		return err
+	}
+
+	l.settle()
+
+	return l.roll()
+}
+
+// checkIdentity refuses a folder of which a part is missing: votes and confirmations may be lost with it.
+func (l *Log) checkIdentity(segments int) error {
+	empty := l.saved.State == replog.State{} && l.saved.Snapshot.Index == 0 && len(l.saved.Entries) == 0
+
+	switch {
+	case l.identity == nil && !empty:
+		return l.corrupt(l.path(identityName), 0, "the identity is missing but the log is not empty")
+	case l.identity != nil && segments == 0:
+		return l.corrupt(l.segmentPath(1), 0, "the identity is there but all log segments are missing")
+	case l.identity != nil && l.identity.Active && len(l.identity.Founding) > 0 && l.saved.Snapshot.Index == 0:
+		return l.corrupt(l.path(fmt.Sprintf(snapshotName, 1)), 0, "the snapshot is missing")
+	default:
+		return nil
+	}
+}
+
+func (l *Log) readSnapshot(index uint64) error {
+	path := l.path(fmt.Sprintf(snapshotName, index))
+
+	content, err := l.files.Read(path)
+	if err != nil {
+		return l.fail("read", path, err)
+	}
+
+	payload, size, intact := unframe(index, content)
+	if !intact || size != len(content) {
+		return l.corrupt(path, 0, "the snapshot's checksum is wrong")
+	}
+
+	if err := cbor.Unmarshal(payload, &l.saved.Snapshot); err != nil || l.saved.Snapshot.Index != index {
+		return l.corrupt(path, frameHeader, "the snapshot can't be decoded")
+	}
+
+	return nil
+}
+
+// readSegments replays the segments in ascending order. Segments that were being removed when the process ended may
+// leave a hole in the numbers; what comes before the hole is covered by the snapshot.
+func (l *Log) readSegments(numbers []uint64) error {
+	first := len(numbers) - 1
+	for first > 0 && numbers[first-1] == numbers[first]-1 {
+		first--
+	}
+
+	for i, number := range numbers {
+		if i < first {
+			if err := l.files.Remove(l.segmentPath(number)); err != nil {
+				return l.fail("remove", l.segmentPath(number), err)
+			}
+
+			continue
+		}
+
+		if err := l.readSegment(number, i == first, i == len(numbers)-1); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+func (l *Log) readSegment(number uint64, first, last bool) error {
+	path := l.segmentPath(number)
+
+	content, err := l.files.Read(path)
+	if err != nil {
+		return l.fail("read", path, err)
+	}
+
+	l.segments = append(l.segments, segment{number: number})
+
+	salt, intact := parseHeader(number, content)
+	if !intact {
+		if !last || len(content) > segmentHeader {
+			return l.corrupt(path, 0, "the segment's header is damaged")
+		}
+
+		return l.dropSegment(path)
+	}
+
+	offset := segmentHeader
+
+	for offset < len(content) {
+		payload, size, intact := unframe(salt, content[offset:])
+		if !intact {
+			if !last || intactAfter(salt, content[offset:]) {
+				return l.corrupt(path, int64(offset), "a record's checksum is wrong and synced data follows")
+			}
+
+			return l.truncate(path, int64(offset))
+		}
+
+		var found record
+		if err := cbor.Unmarshal(payload, &found); err != nil {
+			return l.corrupt(path, int64(offset), "a record can't be decoded")
+		}
+
+		if first && offset == segmentHeader && found.Position == nil {
+			return l.corrupt(path, int64(offset), "the first segment doesn't begin with a position")
+		}
+
+		if reason := l.replay(found); reason != "" {
+			return l.corrupt(path, int64(offset), reason)
+		}
+
+		offset += size
+	}
+
+	if first && number > 1 && offset == segmentHeader {
+		return l.corrupt(path, segmentHeader, "the segments before it are missing")
+	}
+
+	return nil
+}
+
+// dropSegment removes a segment whose header was not complete when the process ended.
+func (l *Log) dropSegment(path string) error {
+	l.segments = l.segments[:len(l.segments)-1]
+
+	if err := l.files.Remove(path); err != nil {
+		return l.fail("remove", path, err)
+	}
+
+	return nil
+}
+
+func (l *Log) truncate(path string, size int64) error {
+	if err := l.files.Truncate(path, size); err != nil {
+		return l.fail("truncate", path, err)
+	}
+
+	return nil
+}
+
+// replay adds a record to what was saved. It returns a reason if the record doesn't fit.
+func (l *Log) replay(found record) string {
+	if found.Position != nil && *found.Position != l.last {
+		if found.Position.Index > l.saved.Snapshot.Index {
+			return fmt.Sprintf("the log continues at entry %d but ends at entry %d", found.Position.Index, l.last.Index)
+		}
+
+		l.saved.Entries, l.last = nil, *found.Position
+	}
+
+	if found.State != nil {
+		l.saved.State = *found.State
+	}
+
+	for _, entry := range found.Entries {
+		if reason := l.replayEntry(entry); reason != "" {
+			return reason
+		}
+	}
+
+	return ""
+}
+
+func (l *Log) replayEntry(entry replog.Entry) string {
+	if entry.Index == 0 || entry.Index > l.last.Index+1 {
+		return fmt.Sprintf("entry %d follows entry %d", entry.Index, l.last.Index)
+	}
+
+	if len(l.saved.Entries) == 0 {
+		l.start = l.last
+	}
+
+	if entry.Index <= l.start.Index {
+		return fmt.Sprintf("entry %d replaces an entry before the segment's position %d", entry.Index, l.start.Index)
+	}
+
+	l.saved.Entries = l.saved.Entries[:entry.Index-l.start.Index-1]
+	l.saved.Entries = append(l.saved.Entries, entry)
+	l.last = position{entry.Index, entry.Term}
+	current := &l.segments[len(l.segments)-1]
+	current.highest = max(current.highest, entry.Index)
+
+	return ""
+}
+
+// settle keeps the entries that follow the snapshot. If the log doesn't hold the snapshot's last entry, it was
+// replaced by the snapshot.
+func (l *Log) settle() {
+	snapshot := position{l.saved.Snapshot.Index, l.saved.Snapshot.Term}
+	entries := l.saved.Entries
+	l.saved.Entries = nil
+
+	for i, entry := range entries {
+		if entry.Index == snapshot.Index && entry.Term != snapshot.Term {
+			break
+		}
+
+		if entry.Index == snapshot.Index+1 && (i > 0 || l.start == snapshot) {
+			l.saved.Entries = slices.Clone(entries[i:])
+
+			break
+		}
+	}
+
+	if count := len(l.saved.Entries); count > 0 {
+		last := l.saved.Entries[count-1]
+		l.last = position{last.Index, last.Term}
+
+		return
+	}
+
+	l.last = snapshot
+}
