--- /dev/null
+++ b/internal/consensus/cluster_test.go
@@ -0,0 +1,237 @@
+package consensus_test
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"almondgrade/core/timer"
+	"almondgrade/internal/consensus"
+	"almondgrade/io/disk"
+)
+
+// patience bounds waits for something that must happen. It is never what a verdict on an order of events rests on.
+const patience = 60 * time.Second
+
+const (
+	heartbeat = 20 * time.Millisecond
+	election  = 300 * time.Millisecond
+)
+
+// register is a state machine that holds one value and counts the commands.
+type register struct {
+	mutex sync.Mutex
+	value uint64
+	count uint64
+}
+
+func (r *register) Apply(_ uint64, command []byte) []byte {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	r.value = binary.BigEndian.Uint64(command)
+	r.count++
+
+	return binary.BigEndian.AppendUint64(nil, r.count)
+}
+
+func (r *register) Snapshot() ([]byte, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, r.value), r.count), nil
+}
+
+func (r *register) Restore(snapshot []byte) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	r.value, r.count = binary.BigEndian.Uint64(snapshot), binary.BigEndian.Uint64(snapshot[8:])
+
+	return nil
+}
+
+func (r *register) read() (value, count uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return r.value, r.count
+}
+
+func write(value uint64) []byte {
+	return binary.BigEndian.AppendUint64(nil, value)
+}
+
+// process is one member that runs like a process of its own.
+type process struct {
+	group   *consensus.Group
+	machine *register
+	server  *grpc.Server
+	clock   *timer.Clock
+	self    consensus.Member
+	folder  string
+}
+
+// cluster runs members over loopback.
+type cluster struct {
+	t         *testing.T
+	network   *network
+	initial   []consensus.Member
+	processes map[string]*process
+	files     map[string]disk.Files
+	every     uint64
+	root      string
+}
+
+func newCluster(t *testing.T, names ...string) *cluster {
+	t.Helper()
+
+	c := &cluster{t: t, root: t.TempDir(), network: newNetwork(), processes: make(map[string]*process), files: make(map[string]disk.Files)}
+	for _, name := range names {
+		c.initial = append(c.initial, c.member(name))
+	}
+
+	t.Cleanup(func() {
+		for name := range c.processes {
+			c.stop(name)
+		}
+	})
+
+	return c
+}
+
+// member reserves an address.
+func (c *cluster) member(name string) consensus.Member {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(c.t, err)
+
+	defer listener.Close()
+
+	return consensus.Member{Name: name, Address: listener.Addr().(*net.TCPAddr).AddrPort()}
+}
+
+func (c *cluster) find(name string) consensus.Member {
+	for _, member := range c.initial {
+		if member.Name == name {
+			return member
+		}
+	}
+
+	c.t.Fatalf("no member %s", name)
+
+	return consensus.Member{}
+}
+
+func (c *cluster) start(names ...string) {
+	c.t.Helper()
+
+	for _, name := range names {
+		require.NoError(c.t, c.run(c.find(name), c.folder(name)))
+	}
+}
+
+func (c *cluster) folder(name string) string {
+	return filepath.Join(c.root, name)
+}
+
+func (c *cluster) run(self consensus.Member, folder string) error {
+	c.t.Helper()
+
+	p := &process{machine: &register{}, server: grpc.NewServer(), clock: timer.New(), self: self, folder: folder}
+
+	listener, err := net.Listen("tcp", self.Address.String())
+	require.NoError(c.t, err)
+
+	p.group, err = consensus.New(consensus.Options{
+		Self: self, Initial: c.initial, Folder: folder, Machine: p.machine, Timer: p.clock, Heartbeat: heartbeat,
+		Election: election, SnapshotEvery: c.every, Files: c.files[self.Name],
+		Dial: func(to netip.AddrPort) (*grpc.ClientConn, error) { return c.network.dial(self.Address, to) },
+	})
+	if err != nil {
+		listener.Close()
+
+		return err
+	}
+
+	p.group.Register(p.server)
+
+	go p.server.Serve(listener)
+
+	c.processes[self.Name] = p
+
+	return nil
+}
+
+// stop ends a process at once, as a crash does; what was synced stays in its folder.
+func (c *cluster) stop(name string) {
+	p := c.processes[name]
+	delete(c.processes, name)
+	p.server.Stop()
+	p.group.Close()
+	p.clock.Close()
+}
+
+func (c *cluster) lose(name string) {
+	require.NoError(c.t, os.RemoveAll(c.folder(name)))
+}
+
+// eventually waits until a condition holds.
+func (c *cluster) eventually(what string, condition func() bool) {
+	c.t.Helper()
+	require.Eventually(c.t, condition, patience, heartbeat/2, what)
+}
+
+// leader waits until a member leads with a confirmed state.
+func (c *cluster) leader() string {
+	c.t.Helper()
+
+	var found string
+
+	c.eventually("a leader", func() bool {
+		for name, p := range c.processes {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*election)
+			_, err := p.group.Confirm(ctx)
+
+			cancel()
+
+			if err == nil {
+				found = name
+
+				return true
+			}
+		}
+
+		return false
+	})
+
+	return found
+}
+
+// propose writes a value through whoever leads, until a write is acknowledged.
+func (c *cluster) propose(value uint64) {
+	c.t.Helper()
+
+	c.eventually("an acknowledged write", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*election)
+		defer cancel()
+
+		_, err := c.processes[c.leader()].group.Propose(ctx, write(value))
+
+		return err == nil
+	})
+}
+
+func insecureDial(to netip.AddrPort, dialer func(context.Context, string) (net.Conn, error)) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+to.String(), grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(dialer))
+}
--- /dev/null
+++ b/internal/consensus/members.go
@@ -0,0 +1,341 @@
+package consensus
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"almondgrade/core/container"
+	"almondgrade/core/replog"
+	"almondgrade/core/result"
+)
+
+// silentElections is the time, in election timeouts, after which a member that was not heard is taken as gone when
+// another one has its name, or a blank one is forgotten.
+const silentElections = 2
+
+func (g *Group) silentTicks() int {
+	return silentElections * int(g.options.Election/g.options.Heartbeat)
+}
+
+// addressOf returns where a member is reached: where it was heard from last, or what the log says.
+func (g *Group) addressOf(id replog.ID) (netip.AddrPort, bool) {
+	if known, found := g.peers[id]; found {
+		return known.address, true
+	}
+
+	if g.node == nil {
+		return netip.AddrPort{}, false
+	}
+
+	member, found := g.node.Status().Configuration.Find(id)
+	if !found {
+		return netip.AddrPort{}, false
+	}
+
+	address, err := netip.ParseAddrPort(member.Address)
+
+	return address, err == nil
+}
+
+// connect makes the links cover the members, the initial members and those that were heard lately.
+func (g *Group) connect() {
+	wanted := make(container.Set[netip.AddrPort])
+
+	for _, initial := range g.options.Initial {
+		wanted.Add(initial.Address)
+	}
+
+	for _, known := range g.peers {
+		wanted.Add(known.address)
+
+		for _, text := range known.hello.Members {
+			if address, err := netip.ParseAddrPort(text); err == nil && g.stage() == blank {
+				wanted.Add(address)
+			}
+		}
+	}
+
+	if g.node != nil {
+		for _, member := range g.node.Status().Configuration.Members {
+			if address, found := g.addressOf(member.ID); found {
+				wanted.Add(address)
+			}
+		}
+	}
+
+	wanted.Remove(g.options.Self.Address)
+	g.setLinks(wanted)
+}
+
+func (g *Group) setLinks(wanted container.Set[netip.AddrPort]) {
+	var closed []*link
+
+	g.mutex.Lock()
+
+	for address := range wanted {
+		if g.links[address] == nil {
+			g.links[address] = newLink(g.ctx, g, address)
+		}
+	}
+
+	for address, to := range g.links {
+		if !wanted.Has(address) {
+			delete(g.links, address)
+
+			closed = append(closed, to)
+		}
+	}
+
+	g.mutex.Unlock()
+
+	for _, to := range closed {
+		to.cancel()
+	}
+}
+
+// tend lets the leader admit, promote and replace members. It runs at each heartbeat and makes one change at a time.
+func (g *Group) tend() {
+	g.age++
+
+	for id, known := range g.peers {
+		known.ticks++
+		g.peers[id] = known
+
+		if known.ticks > g.silentTicks() && known.hello.Stage != active {
+			delete(g.peers, id)
+		}
+	}
+
+	status := g.node.Status()
+	if status.Role != replog.Leader || !status.Settled {
+		return
+	}
+
+	for _, member := range status.Configuration.Members {
+		if !member.Voter && status.Match[member.ID] >= member.Joined && status.Commit >= member.Joined {
+			g.promote(status, member)
+
+			return
+		}
+	}
+
+	for id, known := range g.peers {
+		if _, found := status.Configuration.Find(id); found || known.hello.Stage != blank {
+			continue
+		}
+
+		if g.admits(status, known) {
+			g.change(replog.Add, replog.Member{ID: id, Name: known.hello.Name, Address: known.hello.Address})
+
+			return
+		}
+	}
+}
+
+// admits reports whether a blank member may join: an operator asked for it, or it has the name of a member that is
+// silent and so lost its disk.
+func (g *Group) admits(status replog.Status, known peer) bool {
+	if address, found := g.admitted[known.hello.Name]; found && address == known.address {
+		return true
+	}
+
+	for _, member := range status.Configuration.Members {
+		if member.Name == known.hello.Name {
+			return g.silent(member.ID)
+		}
+	}
+
+	return false
+}
+
+// silent reports whether nothing was heard of a member for some time.
+func (g *Group) silent(id replog.ID) bool {
+	known, found := g.peers[id]
+
+	return id != g.identity.ID && g.age > g.silentTicks() && (!found || known.ticks > g.silentTicks())
+}
+
+// promote gives a member that has caught up its vote, after the former identities of its name are removed.
+func (g *Group) promote(status replog.Status, member replog.Member) {
+	for _, other := range status.Configuration.Members {
+		if other.Name == member.Name && other.ID != member.ID {
+			if g.silent(other.ID) {
+				g.change(replog.Remove, other)
+			}
+
+			return
+		}
+	}
+
+	g.change(replog.Promote, member)
+}
+
+func (g *Group) change(kind replog.ChangeKind, member replog.Member) {
+	index, err := g.node.Change(replog.Change{Kind: kind, Member: member})
+	if err != nil {
+		g.logger().Debug("change of log members has to wait", "member", member.Name, "error", err)
+
+		return
+	}
+
+	g.greet()
+	g.connect()
+	g.logger().Info("changing log members", "change", describeChange(kind), "member", member.Name, "id", member.ID,
+		"entry", index)
+}
+
+func describeChange(kind replog.ChangeKind) string {
+	switch kind {
+	case replog.Add:
+		return "add without vote"
+	case replog.Promote:
+		return "give vote"
+	case replog.Remove:
+		return "remove"
+	}
+
+	return "unknown"
+}
+
+// AddMember admits a member whose process runs with an empty folder, and returns once it has its vote. It may be
+// repeated. Only the leader can do it.
+func (g *Group) AddMember(ctx context.Context, member Member) error {
+	defer func() {
+		_ = g.call(context.WithoutCancel(ctx), func() error { delete(g.admitted, member.Name); return nil })
+	}()
+
+	return g.until(ctx, func() (bool, error) {
+		if g.node == nil {
+			return false, g.notLeader("this member does not take part in the log")
+		}
+
+		status := g.node.Status()
+
+		for _, present := range status.Configuration.Members {
+			if present.Name == member.Name && present.Voter && present.Address == member.Address.String() {
+				return status.Settled, nil
+			}
+		}
+
+		if status.Role != replog.Leader {
+			return false, g.notLeader("members are changed by the leader")
+		}
+
+		g.admitted[member.Name] = member.Address
+
+		return false, nil
+	})
+}
+
+// RemoveMember takes a member out of the group and returns once that is committed. Only the leader can do it; a
+// leader that removes itself stops leading.
+func (g *Group) RemoveMember(ctx context.Context, name string) error {
+	begun := false
+
+	return g.until(ctx, func() (bool, error) {
+		if g.node == nil {
+			return false, g.notLeader("this member does not take part in the log")
+		}
+
+		status := g.node.Status()
+
+		for _, member := range status.Configuration.Members {
+			if member.Name != name {
+				continue
+			}
+
+			begun = true
+
+			_, err := g.node.Change(replog.Change{Kind: replog.Remove, Member: member})
+			switch {
+			case errors.Is(err, replog.ErrNotLeader):
+				return false, g.notLeader("members are changed by the leader")
+			case errors.Is(err, replog.ErrLastVoter):
+				return false, result.New(result.ChangeInvalid, "%s: %w", name, err)
+			}
+
+			return false, nil
+		}
+
+		if !begun {
+			return false, result.New(result.NotFound, "the control log has no member %q", name)
+		}
+
+		return status.Settled, nil
+	})
+}
+
+// Transfer hands the leadership to the member that is furthest ahead and returns once another member leads. On a
+// follower it fails with result.NotLeader.
+func (g *Group) Transfer(ctx context.Context) error {
+	begun := false
+
+	return g.until(ctx, func() (bool, error) {
+		if g.node == nil {
+			return false, g.notLeader("this member does not take part in the log")
+		}
+
+		status := g.node.Status()
+
+		switch {
+		case status.Role != replog.Leader && begun:
+			return status.Leader != 0, nil
+		case status.Role != replog.Leader:
+			return false, g.notLeader("the leadership is handed over by the leader")
+		case status.Transferring:
+			return false, nil
+		}
+
+		var target replog.Member
+
+		for _, member := range status.Configuration.Members {
+			if member.Voter && member.ID != status.ID && !g.silent(member.ID) &&
+				(target.ID == 0 || status.Match[member.ID] > status.Match[target.ID]) {
+				target = member
+			}
+		}
+
+		if target.ID == 0 {
+			return false, result.New(result.NoQuorum, "no other member can take over the leadership")
+		}
+
+		begun = true
+
+		return false, g.node.Transfer(target.ID)
+	})
+}
+
+// until repeats a step in the loop at each heartbeat until it is done.
+func (g *Group) until(ctx context.Context, step func() (done bool, err error)) error {
+	for {
+		done := false
+
+		if err := g.call(ctx, func() (err error) {
+			done, err = step()
+
+			return err
+		}); err != nil || done {
+			return err
+		}
+
+		passed := make(chan struct{})
+		stop := g.options.Timer.After(g.options.Heartbeat, func(time.Time) { close(passed) })
+
+		select {
+		case <-passed:
+		case <-g.Changed():
+		case <-ctx.Done():
+			stop()
+
+			return result.New(result.NoQuorum, "the change was not confirmed in time: %w", ctx.Err())
+		case <-g.ctx.Done():
+			stop()
+
+			return result.New(result.NoQuorum, "the member is shutting down")
+		}
+
+		stop()
+	}
+}
--- /dev/null
+++ b/internal/consensus/wire.go
@@ -0,0 +1,76 @@
+package consensus
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"almondgrade/core/replog"
+	"almondgrade/io/control/controlpb"
+)
+
+// stage tells how far a member is in joining a group.
+type stage uint8
+
+const (
+	// blank members belong to no group.
+	blank stage = iota
+	// prepared members have stored the founding members and wait until all of them have.
+	prepared
+	// active members take part in the log.
+	active
+)
+
+func (s stage) String() string {
+	return [...]string{"blank", "prepared", "active"}[s]
+}
+
+// hello is the first message of each batch. It tells who sends, and acknowledges what came from the receiver.
+type hello struct {
+	Name    string    `cbor:"1,keyasint"`
+	Address string    `cbor:"2,keyasint"`
+	ID      replog.ID `cbor:"3,keyasint"`
+	// Instance is drawn at process start.
+	Instance uint64 `cbor:"4,keyasint"`
+	Group    uint64 `cbor:"5,keyasint,omitempty"`
+	Stage    stage  `cbor:"6,keyasint,omitempty"`
+	// Sequence numbers the batches of this instance to the receiver.
+	Sequence uint64 `cbor:"7,keyasint"`
+	// HeardInstance and HeardSequence acknowledge the last batch received from the receiver.
+	HeardInstance uint64 `cbor:"8,keyasint,omitempty"`
+	HeardSequence uint64 `cbor:"9,keyasint,omitempty"`
+	// Members are the addresses of the group's members, for a blank receiver with old settings.
+	Members []string `cbor:"10,keyasint,omitempty"`
+}
+
+// batch is what one LogMessages carries.
+type batch struct {
+	hello    hello
+	messages []replog.Message
+}
+
+func decodeBatch(received *controlpb.LogMessages) (batch, error) {
+	encoded := received.GetMessages()
+	if len(encoded) == 0 {
+		return batch{}, eris.New("a batch of log messages must begin with a hello")
+	}
+
+	var decoded batch
+	if err := cbor.Unmarshal(encoded[0], &decoded.hello); err != nil {
+		return batch{}, eris.Wrap(err, "decode hello")
+	}
+
+	if decoded.hello.Stage > active || decoded.hello.ID == 0 {
+		return batch{}, eris.New("the hello is not valid")
+	}
+
+	for _, one := range encoded[1:] {
+		message, err := replog.DecodeMessage(one)
+		if err != nil {
+			return batch{}, err
+		}
+
+		decoded.messages = append(decoded.messages, message)
+	}
+
+	return decoded, nil
+}
