internal/coordination: add first version of the coordination of proxies

Adds core/permit (Broker), core/failover (Detector), internal/coordinator, io/peer and internal/coordination, which implements proxy.Coordination over a source of views. Permit numbers are chosen by their holder, so that lost answers and late requests can be told apart without a clock; the messages of the Peer service carry them.

--- /dev/null
+++ b/core/failover/detector.go
@@ -0,0 +1,108 @@
+package failover
+
+import "time"
+
+// Outcome is how a query to a backend server ended.
+type Outcome uint8
+
+// The outcomes of a query.
+const (
+	// Answered is an answer, or an error that shows that the server works.
+	Answered Outcome = iota
+	// Refused is a connection that the server or its network rejected, or a server that says it is down.
+	Refused
+	// Silent is a query without an answer in time.
+	Silent
+)
+
+// Verdict is what a Detector concludes about a server.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Healthy is a server that answers in time.
+	Healthy Verdict = iota
+	// Slow is a server that answers, but late.
+	Slow
+	// Unsure is a server with failures that prove nothing yet: on old connections, or too few on new ones.
+	Unsure
+	// Dead is a server with enough failures in a row on new connections.
+	Dead
+)
+
+// String returns the word that messages use.
+func (v Verdict) String() string {
+	return [...]string{"healthy", "slow", "unsure", "dead"}[v]
+}
+
+// Query is one query to a server, as its observer saw it.
+type Query struct {
+	// Began is the time at which the query, or the opening of its connection, began.
+	Began time.Time
+	Took  time.Duration
+	// Fresh is true if the connection was opened for this query.
+	Fresh   bool
+	Outcome Outcome
+}
+
+// Thresholds are the limits of a Detector.
+type Thresholds struct {
+	// Failures is the number of failures in a row on new connections that make a server dead.
+	Failures int
+	// Spacing is the least time between the beginnings of two failures that count separately. It keeps a burst of
+	// attempts during a short interruption from looking like a long one.
+	Spacing time.Duration
+	// Slow is the duration above which an answer is late.
+	Slow time.Duration
+}
+
+// Detector tells a dead backend server from a lost connection and from a slow server. It is not safe for
+// concurrent use.
+type Detector struct {
+	thresholds Thresholds
+	failures   int
+	counted    time.Time
+	verdict    Verdict
+}
+
+// NewDetector returns a detector that takes the server for healthy.
+func NewDetector(thresholds Thresholds) *Detector {
+	return &Detector{thresholds: thresholds}
+}
+
+// Observe takes the outcome of a query and returns the verdict.
+func (d *Detector) Observe(query Query) Verdict {
+	if query.Outcome == Answered {
+		d.failures = 0
+		d.counted = time.Time{}
+		d.verdict = Healthy
+
+		if query.Took > d.thresholds.Slow {
+			d.verdict = Slow
+		}
+
+		return d.verdict
+	}
+
+	if query.Fresh && (d.failures == 0 || query.Began.Sub(d.counted) >= d.thresholds.Spacing) {
+		d.failures++
+		d.counted = query.Began
+	}
+
+	d.verdict = Unsure
+	if d.failures >= d.thresholds.Failures {
+		d.verdict = Dead
+	}
+
+	return d.verdict
+}
+
+// Verdict returns the last verdict.
+func (d *Detector) Verdict() Verdict {
+	return d.verdict
+}
+
+// Failures returns the number of failures in a row on new connections.
+func (d *Detector) Failures() int {
+	return d.failures
+}
--- /dev/null
+++ b/core/permit/queue.go
@@ -0,0 +1,104 @@
+package permit
+
+import (
+	"slices"
+	"time"
+)
+
+// urgentStreak is the number of urgent grants in a row after which one routine waiter is served.
+const urgentStreak = 7
+
+// queue holds the waiting requests for one kind of permit, each class in order of arrival.
+type queue struct {
+	urgent  []Request
+	routine []Request
+	streak  int
+}
+
+func (q *queue) len() int {
+	return len(q.urgent) + len(q.routine)
+}
+
+func (q *queue) class(urgent bool) *[]Request {
+	if urgent {
+		return &q.urgent
+	}
+
+	return &q.routine
+}
+
+// next takes the request to serve.
+func (q *queue) next() Request {
+	class := &q.urgent
+	if len(q.urgent) == 0 || q.streak >= urgentStreak && len(q.routine) > 0 {
+		class = &q.routine
+	}
+
+	if class == &q.urgent {
+		q.streak++
+	} else {
+		q.streak = 0
+	}
+
+	taken := (*class)[0]
+	*class = (*class)[1:]
+
+	return taken
+}
+
+// granted accounts for a request that was served without waiting.
+func (q *queue) granted(urgent bool) {
+	if urgent {
+		q.streak++
+	} else {
+		q.streak = 0
+	}
+}
+
+// remove takes out the requests that match.
+func (q *queue) remove(match func(Request) bool) []Request {
+	var removed []Request
+
+	for _, class := range []*[]Request{&q.urgent, &q.routine} {
+		*class = slices.DeleteFunc(*class, func(waiting Request) bool {
+			if !match(waiting) {
+				return false
+			}
+
+			removed = append(removed, waiting)
+
+			return true
+		})
+	}
+
+	return removed
+}
+
+func (q *queue) find(grant Grant) *Request {
+	for _, class := range []*[]Request{&q.urgent, &q.routine} {
+		for i := range *class {
+			if (*class)[i].Grant == grant {
+				return &(*class)[i]
+			}
+		}
+	}
+
+	return nil
+}
+
+// estimate returns the expected wait of a new request, when each of the given number of permits is held for a mean
+// time.
+func (q *queue) estimate(urgent bool, permits int, mean time.Duration) time.Duration {
+	if permits == 0 {
+		return 0
+	}
+
+	ahead := len(q.urgent)
+	if urgent {
+		ahead += min(len(q.routine), ahead/urgentStreak)
+	} else {
+		ahead += len(q.routine)
+	}
+
+	return mean * time.Duration(ahead+1) / time.Duration(permits)
+}
--- /dev/null
+++ b/core/permit/types.go
@@ -0,0 +1,91 @@
+package permit
+
+import (
+	"time"
+
+	"almondgrade/core/result"
+)
+
+// Kind says what a permit is for.
+type Kind uint8
+
+// The kinds of permits.
+const (
+	// Connection is the right to have one connection open.
+	Connection Kind = iota
+	// Slot is the right to have one statement running.
+	Slot
+	kinds
+)
+
+// String returns the word that messages use.
+func (k Kind) String() string {
+	if k == Connection {
+		return "connection"
+	}
+
+	return "slot"
+}
+
+// Holder is one process that holds permits. A restarted process is another holder.
+type Holder struct {
+	Proxy    string
+	Instance uint64
+}
+
+// Grant names a permit: its holder, the holder's number for it, and its kind.
+type Grant struct {
+	Holder Holder
+	Number uint64
+	Kind   Kind
+}
+
+// Request asks for a permit.
+type Request struct {
+	Grant
+	Urgent   bool
+	Deadline time.Time
+}
+
+// Answer tells the outcome of a request: granted if the code is result.OK, otherwise refused.
+type Answer struct {
+	Grant
+	Code   result.Code
+	Reason string
+}
+
+// Held is a permit in a report.
+type Held struct {
+	Number uint64
+	Kind   Kind
+	// Pending is true while the holder still waits for the permit.
+	Pending bool
+}
+
+// Report lists the permits of one holder.
+type Report struct {
+	Holder Holder
+	// Sequence grows with each report of a holder.
+	Sequence uint64
+	// Next is greater than every number that the holder has chosen so far.
+	Next uint64
+	Held []Held
+}
+
+// Limits bound the permits of a backend server.
+type Limits struct {
+	Connections int
+	Slots       int
+	// Reserve is the number of connections that are kept for administration.
+	Reserve int
+	// Queue bounds the waiting requests of each kind and class.
+	Queue int
+}
+
+func (l Limits) of(kind Kind) int {
+	if kind == Connection {
+		return max(0, l.Connections-l.Reserve)
+	}
+
+	return max(0, l.Slots)
+}
--- /dev/null
+++ b/internal/coordinator/application.go
@@ -0,0 +1,57 @@
+package coordinator
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"almondgrade/core/permit"
+)
+
+// The kinds of connections in application names. Connections for monitoring, probes and control use the reserve
+// and hold no permit.
+const (
+	KindMonitor = "monitor"
+	KindProbe   = "probe"
+	KindDirect  = "direct"
+	KindPool    = "pool"
+)
+
+const (
+	applicationPrefix = "ag"
+	instanceBase      = 16
+	instanceDigits    = 16
+	// instanceField is the position of the instance in an application name.
+	instanceField = 2
+)
+
+// Application returns the application name of a proxy's connection to a backend server: ag/PROXY/INSTANCE/KIND, with
+// the instance as 16 hexadecimal digits. The instance tells the connections of a process from those that an earlier
+// process of the same name left behind.
+func Application(proxy string, instance uint64, kind string) string {
+	return fmt.Sprintf("%s/%s/%016x/%s", applicationPrefix, proxy, instance, kind)
+}
+
+// holderOf reads an application name. A name without an instance gives the instance zero. The names of connections
+// that hold no permit give false.
+func holderOf(application string) (permit.Holder, bool) {
+	fields := strings.Split(application, "/")
+	if len(fields) < instanceField || fields[0] != applicationPrefix || fields[1] == "" {
+		return permit.Holder{}, false
+	}
+
+	switch fields[len(fields)-1] {
+	case KindMonitor, KindProbe:
+		return permit.Holder{}, false
+	}
+
+	holder := permit.Holder{Proxy: fields[1]}
+
+	if len(fields) > instanceField && len(fields[instanceField]) == instanceDigits {
+		if instance, err := strconv.ParseUint(fields[instanceField], instanceBase, 64); err == nil {
+			holder.Instance = instance
+		}
+	}
+
+	return holder, true
+}
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,180 @@
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"almondgrade/io/peer/peerpb"
+)
+
+// Client calls the Peer service of one proxy. It is safe for concurrent use.
+type Client struct {
+	address netip.AddrPort
+	options Options
+
+	mutex   sync.Mutex
+	current *link
+	closed  bool
+}
+
+// link is one connection.
+type link struct {
+	conn *grpc.ClientConn
+	stub peerpb.PeerClient
+	// answers counts the answers of any kind that arrived.
+	answers atomic.Uint64
+}
+
+// Dial returns a client for an address. It connects when the first call is made.
+func Dial(address netip.AddrPort, options Options) (*Client, error) {
+	client := &Client{address: address, options: options}
+
+	connected, err := client.connect()
+	if err != nil {
+		return nil, err
+	}
+
+	client.current = connected
+
+	return client, nil
+}
+
+// Close ends the connection and the calls on it.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	if !c.closed {
+		c.closed = true
+		_ = c.current.conn.Close()
+	}
+}
+
+// Barrier calls Peer.Barrier. The context bounds the call.
+func (c *Client) Barrier(ctx context.Context, request *peerpb.BarrierRequest) (*peerpb.BarrierReply, error) {
+	return call(ctx, c, 0, request, peerpb.PeerClient.Barrier)
+}
+
+// Confirm calls Peer.Confirm. The context bounds the call.
+func (c *Client) Confirm(ctx context.Context, request *peerpb.ConfirmRequest) (*peerpb.ConfirmReply, error) {
+	return call(ctx, c, 0, request, peerpb.PeerClient.Confirm)
+}
+
+// Acquire calls Peer.Acquire. The context bounds the call.
+func (c *Client) Acquire(ctx context.Context, request *peerpb.AcquireRequest) (*peerpb.AcquireReply, error) {
+	return call(ctx, c, 0, request, peerpb.PeerClient.Acquire)
+}
+
+// Release calls Peer.Release.
+func (c *Client) Release(ctx context.Context, request *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
+	return call(ctx, c, shortLimit, request, peerpb.PeerClient.Release)
+}
+
+// Hold calls Peer.Hold. Called each second, it also notices a silent connection.
+func (c *Client) Hold(ctx context.Context, request *peerpb.HoldRequest) (*peerpb.HoldReply, error) {
+	return call(ctx, c, shortLimit, request, peerpb.PeerClient.Hold)
+}
+
+// Recall calls Peer.Recall.
+func (c *Client) Recall(ctx context.Context, request *peerpb.RecallRequest) (*peerpb.RecallReply, error) {
+	return call(ctx, c, shortLimit, request, peerpb.PeerClient.Recall)
+}
+
+// Probe calls Peer.Probe. The context bounds the call.
+func (c *Client) Probe(ctx context.Context, request *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	return call(ctx, c, 0, request, peerpb.PeerClient.Probe)
+}
+
+// Cancel calls Peer.Cancel.
+func (c *Client) Cancel(ctx context.Context, request *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
+	return call(ctx, c, shortLimit, request, peerpb.PeerClient.Cancel)
+}
+
+// call makes one call. A limit of zero leaves the bound to the context.
+func call[Q, R any](
+	parent context.Context, client *Client, limit time.Duration, request Q,
+	method func(peerpb.PeerClient, context.Context, Q, ...grpc.CallOption) (R, error),
+) (R, error) {
+	ctx, cancel := parent, context.CancelFunc(func() {})
+	if limit > 0 {
+		ctx, cancel = context.WithTimeout(parent, limit)
+	}
+	defer cancel()
+
+	used := client.use()
+	before := used.answers.Load()
+
+	reply, err := method(used.stub, ctx, request)
+	if err == nil {
+		used.answers.Add(1)
+
+		return reply, nil
+	}
+
+	if status.Code(err) == codes.DeadlineExceeded && used.answers.Load() == before {
+		client.replace(used)
+	}
+
+	return reply, eris.Wrapf(err, "call of proxy %s", client.address)
+}
+
+func (c *Client) use() *link {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return c.current
+}
+
+// replace opens a new connection in place of a silent one, whose calls end.
+func (c *Client) replace(silent *link) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	if c.closed || c.current != silent {
+		return
+	}
+
+	connected, err := c.connect()
+	if err != nil {
+		return // The settings were good before; the old connection stays.
+	}
+
+	c.current = connected
+	_ = silent.conn.Close()
+}
+
+func (c *Client) connect() (*link, error) {
+	options := []grpc.DialOption{
+		grpc.WithTransportCredentials(c.options.credentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true,
+		}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay: leastDelay, MaxDelay: mostDelay, Multiplier: delayFactor, Jitter: delayJitter,
+			},
+			MinConnectTimeout: connectLimit,
+		}),
+	}
+
+	if c.options.Dial != nil {
+		options = append(options, grpc.WithContextDialer(c.options.Dial))
+	}
+
+	conn, err := grpc.NewClient("passthrough:///"+c.address.String(), options...)
+	if err != nil {
+		return nil, eris.Wrapf(err, "client for proxy %s", c.address)
+	}
+
+	return &link{conn: conn, stub: peerpb.NewPeerClient(conn)}, nil
+}
--- /dev/null
+++ b/io/peer/doc.go
@@ -0,0 +1,18 @@
+// Package peer connects the proxies with each other over gRPC.
+//
+// A Client calls another proxy's Peer service. Every call has a limit. A connection on which a call found no answer
+// within its limit, while no other call was answered either, is taken for silent and replaced: connections can be
+// lost without notice while new ones work.
+//
+// # Usage
+//
+//	server := peer.NewServer(peer.Options{}, handler)
+//	go server.Serve(listener)
+//
+//	client, err := peer.Dial(address, peer.Options{})
+//	if err != nil {
+//		return err
+//	}
+//	defer client.Close()
+//	reply, err := client.Barrier(ctx, &peerpb.BarrierRequest{Group: "db1", Epoch: 3})
+package peer
