--- a/core/failover/detector.go
+++ b/core/failover/detector.go
@@ -15,13 +15,13 @@
 	Silent
 )
 
-// Verdict is what a Detector concludes about a server.
-type Verdict uint8
+// State is what a Detector concludes about a server.
+type State uint8
 
-// The verdicts.
+// The states.
 const (
 	// Healthy is a server that answers in time.
-	Healthy Verdict = iota
+	Healthy State = iota
 	// Slow is a server that answers, but late.
 	Slow
 	// Unsure is a server with failures that prove nothing yet: on old connections, or too few on new ones.
@@ -31,8 +31,8 @@
 )
 
 // String returns the word that messages use.
-func (v Verdict) String() string {
-	return [...]string{"healthy", "slow", "unsure", "dead"}[v]
+func (s State) String() string {
+	return [...]string{"healthy", "slow", "unsure", "dead"}[s]
 }
 
 // Query is one query to a server, as its observer saw it.
@@ -62,7 +62,7 @@
 	thresholds Thresholds
 	failures   int
 	counted    time.Time
-	verdict    Verdict
+	state      State
 }
 
 // NewDetector returns a detector that takes the server for healthy.
@@ -70,18 +70,18 @@
 	return &Detector{thresholds: thresholds}
 }
 
-// Observe takes the outcome of a query and returns the verdict.
-func (d *Detector) Observe(query Query) Verdict {
+// Observe takes the outcome of a query and returns the state.
+func (d *Detector) Observe(query Query) State {
 	if query.Outcome == Answered {
 		d.failures = 0
 		d.counted = time.Time{}
-		d.verdict = Healthy
+		d.state = Healthy
 
 		if query.Took > d.thresholds.Slow {
-			d.verdict = Slow
+			d.state = Slow
 		}
 
-		return d.verdict
+		return d.state
 	}
 
 	if query.Fresh && (d.failures == 0 || query.Began.Sub(d.counted) >= d.thresholds.Spacing) {
@@ -89,17 +89,17 @@
 		d.counted = query.Began
 	}
 
-	d.verdict = Unsure
+	d.state = Unsure
 	if d.failures >= d.thresholds.Failures {
-		d.verdict = Dead
+		d.state = Dead
 	}
 
-	return d.verdict
+	return d.state
 }
 
-// Verdict returns the last verdict.
-func (d *Detector) Verdict() Verdict {
-	return d.verdict
+// State returns the last state.
+func (d *Detector) State() State {
+	return d.state
 }
 
 // Failures returns the number of failures in a row on new connections.
--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -206,22 +206,25 @@
 		return result.New(result.NotFound, "the proxy has no view yet")
 	}
 
+	failed := error(result.New(result.NotFound, "no proxy has the number %d", process>>ProcessBits))
+
+	// The key holds only the lower bits of the number, which several proxies may share. The secret decides.
 	for _, other := range view.Proxies {
-		if other.Number != process>>ProcessBits {
+		if other.Number&numberMask != process>>ProcessBits || other.Name == c.options.Name {
 			continue
 		}
 
 		client, err := c.client(other.Peer)
-		if err != nil {
-			return err
+		if err == nil {
+			_, err = client.Cancel(ctx, &peerpb.CancelRequest{Process: process, Secret: secret})
 		}
 
-		_, err = client.Cancel(ctx, &peerpb.CancelRequest{Process: process, Secret: secret})
-
-		return err
+		if err != nil || result.CodeOf(failed) == result.NotFound {
+			failed = err
+		}
 	}
 
-	return result.New(result.NotFound, "no proxy has the number %d", process>>ProcessBits)
+	return failed
 }
 
 // apply takes over the latest view.
--- a/internal/coordination/options.go
+++ b/internal/coordination/options.go
@@ -74,9 +74,13 @@
 )
 
 // ProcessBits is the number of lower bits of a cancel key's process id that number the session; the upper bits
-// number the proxy.
+// number the proxy. The topmost bit stays zero, because drivers
+// take the process id for a signed number.
 const ProcessBits = 20
 
+// numberMask selects the part of a proxy's number that a cancel key holds.
+const numberMask = 1<<(31-ProcessBits) - 1
+
 func (o Options) withDefaults() Options {
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -333,10 +333,10 @@
 func (c *Coordinator) observed(member *member, query failover.Query, err error) {
 	c.mutex.Lock()
 	detector, found := c.detectors[member.name]
-	verdict := failover.Healthy
+	state := failover.Healthy
 
 	if found && c.members[member.name] == member {
-		verdict = detector.Observe(query)
+		state = detector.Observe(query)
 	}
 
 	c.mutex.Unlock()
@@ -344,11 +344,11 @@
 	if err != nil {
 		metrics.GetOrRegisterCounter("monitor_failed", c.options.Metrics).Inc(1)
 		c.options.Logger.Debug("query to backend server failed", "group", c.options.Group, "server", member.name,
-			"fresh", query.Fresh, "verdict", verdict.String(), "error", err)
+			"fresh", query.Fresh, "state", state.String(), "error", err)
 	}
 
-	if state := c.state.Load(); verdict == failover.Dead && state != nil && c.options.Suspect != nil {
-		c.options.Suspect(c.options.Group, state.group.Term, member.name, err.Error())
+	if present := c.state.Load(); state == failover.Dead && present != nil && c.options.Suspect != nil {
+		c.options.Suspect(c.options.Group, present.group.Term, member.name, err.Error())
 	}
 }
 
