internal/standin: add stand-in for backend servers

Cause: tests and local systems need members of a database group, and no database server may be installed.

--- /dev/null
+++ b/internal/standin/settings.go
@@ -0,0 +1,331 @@
+package standin
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// settings are the parameters that a session has set.
+type settings struct {
+	values   map[string]string
+	defaults map[string]string
+	// saved is the state at the start of the transaction; local lists the parameters set for the transaction only.
+	saved map[string]string
+	local map[string]bool
+}
+
+func (c *settings) init() {
+	c.values = map[string]string{}
+	c.local = map[string]bool{}
+}
+
+// asDefaults makes the present values those that RESET returns to.
+func (c *settings) asDefaults() {
+	c.defaults = maps.Clone(c.values)
+}
+
+func (c *settings) save() {
+	c.saved = maps.Clone(c.values)
+}
+
+func (c *settings) restore() {
+	if c.saved != nil {
+		c.values, c.saved = c.saved, nil
+	}
+
+	clear(c.local)
+}
+
+// endLocal ends the effect of SET LOCAL at a commit.
+func (c *settings) endLocal() {
+	for name := range c.local {
+		if value, ok := c.saved[name]; ok {
+			c.values[name] = value
+		} else {
+			delete(c.values, name)
+		}
+	}
+
+	clear(c.local)
+	c.saved = nil
+}
+
+//nolint:gochecknoglobals // Constant tables.
+var (
+	// reported parameters are sent to the client at startup and on change.
+	reported = []string{
+		"server_version", "server_encoding", "client_encoding", "application_name", "default_transaction_read_only",
+		"in_hot_standby", "is_superuser", "session_authorization", "DateStyle", "IntervalStyle", "TimeZone",
+		"integer_datetimes", "standard_conforming_strings",
+	}
+	parameterDefaults = map[string]string{
+		"server_version": "16.0", "server_version_num": "160000", "server_encoding": "UTF8", "client_encoding": "UTF8",
+		"is_superuser": "on", "datestyle": "ISO, MDY", "intervalstyle": "postgres", "timezone": "UTC",
+		"integer_datetimes": "on", "standard_conforming_strings": "on", "statement_timeout": "0", "lock_timeout": "0",
+		"idle_in_transaction_session_timeout": "0", "search_path": `"$user", public`, "extra_float_digits": "1",
+		"transaction_isolation": "read committed", "default_transaction_isolation": "read committed",
+		"bytea_output": "hex", "client_min_messages": "notice", "synchronous_commit": "on", "work_mem": "4MB",
+		"application_name": "", "primary_conninfo": "", "row_security": "on", "max_connections": "0",
+	}
+)
+
+// show returns the value of a parameter.
+func (s *session) show(name string) (string, error) {
+	name = strings.ToLower(name)
+
+	switch name {
+	case "transaction_read_only":
+		return onOff(!s.srv.isPrimary() || s.tx.begun && s.tx.readOnly || !s.tx.begun && s.defaultReadOnly()), nil
+	case "default_transaction_read_only":
+		return onOff(s.defaultReadOnly()), nil
+	case "in_hot_standby":
+		return onOff(!s.srv.isPrimary()), nil
+	case "session_authorization":
+		return s.user, nil
+	case "primary_conninfo":
+		return s.srv.setting(name), nil
+	case "max_connections":
+		return strconv.FormatInt(s.srv.member.connections.Load(), 10), nil
+	}
+
+	if value, ok := s.settings.values[name]; ok {
+		return value, nil
+	}
+
+	if value, ok := parameterDefaults[name]; ok {
+		return value, nil
+	}
+
+	return "", errorf(stateUndefinedParam, "unrecognized configuration parameter %q", name)
+}
+
+func (s *session) settingNames() []string {
+	return slices.Sorted(maps.Keys(parameterDefaults))
+}
+
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+
+	return "off"
+}
+
+func (s *session) defaultReadOnly() bool {
+	value, ok := s.settings.values["default_transaction_read_only"]
+	if !ok {
+		value = s.srv.setting("default_transaction_read_only")
+	}
+
+	on, err := parseBool(value)
+
+	return on && err == nil
+}
+
+// timeout returns the statement_timeout; values without a unit are in milliseconds.
+func (s *session) timeout() time.Duration {
+	value := s.settings.values["statement_timeout"]
+	if millis, err := strconv.Atoi(value); err == nil {
+		return time.Duration(millis) * time.Millisecond
+	}
+
+	period, _ := time.ParseDuration(strings.ReplaceAll(value, "min", "m"))
+
+	return period
+}
+
+// set sets a parameter of the session.
+func (s *session) set(name, value string, local bool) error {
+	name = strings.ToLower(name)
+	_, known := parameterDefaults[name]
+
+	switch {
+	case name == "primary_conninfo":
+		return errorf("55P02", "parameter %q cannot be changed now", name)
+	case name == "transaction_read_only":
+		return s.characteristics([]token{{word, "read"}, {word, map[bool]string{true: "only", false: "write"}[value == "on"]}})
+	case name == "default_transaction_read_only":
+		if _, err := parseBool(value); err != nil {
+			return err
+		}
+	case !known && !strings.Contains(name, "."):
+		return errorf(stateUndefinedParam, "unrecognized configuration parameter %q", name)
+	}
+
+	if local {
+		s.settings.local[name] = true
+	} else {
+		delete(s.settings.local, name)
+	}
+
+	s.settings.values[name] = value
+	s.noteSetting(name)
+
+	return nil
+}
+
+// noteSetting tells the client and other sessions about a changed parameter.
+func (s *session) noteSetting(name string) {
+	value, _ := s.show(name)
+
+	if name == "application_name" {
+		s.mu.Lock()
+		s.application = value
+		s.mu.Unlock()
+		s.link.setPeer(value)
+	}
+
+	for _, report := range reported {
+		if strings.EqualFold(report, name) && s.settings.defaults != nil {
+			s.back.Send(&pgproto3.ParameterStatus{Name: report, Value: value})
+		}
+	}
+}
+
+// setStatement runs SET.
+func (s *session) setStatement(st *statement) error {
+	words := st.words[1:]
+	local := false
+
+	if len(words) > 0 && words[0].is("session", "local") {
+		local = words[0].is("local")
+		words = words[1:]
+	}
+
+	switch {
+	case len(words) == 0:
+		return errorf(stateSyntax, "syntax error at end of input")
+	case words[0].is("transaction"):
+		return s.characteristics(words)
+	case words[0].is("characteristics"):
+		for i := range words[:len(words)-1] {
+			if words[i].is("read") {
+				return s.set("default_transaction_read_only", onOff(words[i+1].is("only")), false)
+			}
+		}
+
+		return nil
+	case words[0].is("time") && len(words) > 2 && words[1].is("zone"):
+		return s.set("timezone", settingValue(words[2:]), local)
+	case words[0].is("names") && len(words) > 1:
+		return s.set("client_encoding", settingValue(words[1:]), local)
+	}
+
+	name, value, found := assignment(words)
+	if !found {
+		return errorf(stateSyntax, "syntax error in SET")
+	}
+
+	if len(value) == 1 && value[0].is("default") {
+		return s.reset(name)
+	}
+
+	return s.set(name, settingValue(value), local)
+}
+
+// assignment reads NAME = VALUE or NAME TO VALUE.
+func assignment(words []token) (name string, value []token, found bool) {
+	for i, t := range words {
+		if t.is("=", "to") {
+			return name, words[i+1:], i > 0 && i+1 < len(words)
+		}
+
+		name += strings.Trim(t.raw, `"`)
+	}
+
+	return name, nil, false
+}
+
+func settingValue(words []token) string {
+	var value strings.Builder
+
+	for _, t := range words {
+		switch {
+		case t.is(","):
+			value.WriteString(", ")
+		case t.kind == text:
+			value.WriteString(literalValue(t.raw))
+		default:
+			value.WriteString(strings.Trim(t.raw, `"`))
+		}
+	}
+
+	return value.String()
+}
+
+func (s *session) reset(name string) error {
+	name = strings.ToLower(name)
+
+	if name != "all" {
+		if _, err := s.show(name); err != nil {
+			return err
+		}
+	}
+
+	for _, each := range slices.Collect(maps.Keys(s.settings.values)) {
+		if name != "all" && name != each {
+			continue
+		}
+
+		if value, ok := s.settings.defaults[each]; ok {
+			s.settings.values[each] = value
+		} else {
+			delete(s.settings.values, each)
+		}
+
+		s.noteSetting(each)
+	}
+
+	return nil
+}
+
+// discardAll runs DISCARD ALL.
+func (s *session) discardAll() error {
+	if s.tx.block {
+		return errorf(stateActive, "DISCARD ALL cannot run inside a transaction block")
+	}
+
+	for name := range s.temporary {
+		if _, err := s.conn.ExecContext(s.ctx, "DROP TABLE IF EXISTS temp."+literal(name)); err != nil {
+			return err
+		}
+	}
+
+	clear(s.temporary)
+	clear(s.statements)
+	s.srv.advisory.unlockAll(s, false)
+
+	return s.reset("all")
+}
+
+// systemStatement runs ALTER SYSTEM SET or RESET.
+func (s *session) systemStatement(st *statement) error {
+	if s.tx.block {
+		return errorf(stateActive, "ALTER SYSTEM cannot run inside a transaction block")
+	}
+
+	words := st.words[2:]
+
+	switch {
+	case len(words) > 1 && words[0].is("reset"):
+		return s.srv.alterSystem(strings.ToLower(words[1].raw), "", true)
+	case len(words) > 1 && words[0].is("set"):
+		name, value, found := assignment(words[1:])
+		name = strings.ToLower(name)
+
+		if _, known := parameterDefaults[name]; !known && name != "default_transaction_read_only" {
+			return errorf(stateUndefinedParam, "unrecognized configuration parameter %q", name)
+		}
+
+		if found {
+			return s.srv.alterSystem(name, settingValue(value), false)
+		}
+	}
+
+	return errorf(stateSyntax, "syntax error in ALTER SYSTEM")
+}
