internal/controller: test failover, planned move and members against stand-ins

Each test injects its fault into real stand-in servers: loss of the primary, loss of the fence quorum, a primary that returns while fencing, a new leader in the middle, a drain, lost data, a claimed name.

--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,518 @@
+package controller_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"almondgrade/core/position"
+	"almondgrade/core/registry"
+	"almondgrade/core/result"
+	"almondgrade/core/settings"
+	"almondgrade/core/timer"
+	"almondgrade/internal/controller"
+	"almondgrade/internal/standin"
+	"almondgrade/io/backend"
+	"almondgrade/io/control/controlpb"
+)
+
+// limit bounds the wait for a condition; it is far above what is needed.
+const limit = 60 * time.Second
+
+// memoryLog is a log of one member that leads until it is told otherwise.
+type memoryLog struct {
+	mutex   sync.Mutex
+	state   *registry.State
+	index   uint64
+	leader  bool
+	changed chan struct{}
+}
+
+func newMemoryLog(state *registry.State) *memoryLog {
+	return &memoryLog{state: state, leader: true, changed: make(chan struct{})}
+}
+
+func (l *memoryLog) Propose(_ context.Context, command []byte) ([]byte, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if !l.leader {
+		return nil, result.New(result.NotLeader, "127.0.0.1:1")
+	}
+
+	l.index++
+	answer := l.state.Apply(l.index, command)
+	close(l.changed)
+	l.changed = make(chan struct{})
+
+	return answer, nil
+}
+
+func (l *memoryLog) Confirm(context.Context) (uint64, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if !l.leader {
+		return 0, result.New(result.NotLeader, "127.0.0.1:1")
+	}
+
+	return l.index, nil
+}
+
+func (l *memoryLog) Leader() (string, netip.AddrPort, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	return "c1", netip.MustParseAddrPort("127.0.0.1:1"), l.leader
+}
+
+func (l *memoryLog) Changed() <-chan struct{} {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	return l.changed
+}
+
+func (l *memoryLog) lead(leader bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	l.leader = leader
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// fixture is a controller over a log in memory, with an HTTP address for announcements.
+type fixture struct {
+	t        *testing.T
+	log      *memoryLog
+	state    *registry.State
+	control  *controller.Controller
+	announce string
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+
+	clock := timer.New()
+	t.Cleanup(clock.Close)
+
+	f := &fixture{t: t, state: registry.NewState()}
+	f.log = newMemoryLog(f.state)
+	f.control = controller.New(controller.Options{
+		Name: "c1", Log: f.log, State: f.state, First: settings.Defaults(), Timer: clock,
+		Login: func(settings.Running) backend.Login { return backend.Login{User: "almondgrade", Database: "main"} },
+		Dial: func(address netip.AddrPort) (*grpc.ClientConn, error) {
+			return grpc.NewClient(address.String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+		},
+		Logger: slog.New(slog.NewTextHandler(t.Output(), nil)), Metrics: metrics.NewRegistry(),
+	})
+	t.Cleanup(f.control.Close)
+
+	server := httptest.NewServer(http.HandlerFunc(f.serve))
+	t.Cleanup(server.Close)
+
+	f.announce = strings.TrimPrefix(server.URL, "http://")
+
+	return f
+}
+
+func (f *fixture) serve(writer http.ResponseWriter, request *http.Request) {
+	var server controlpb.Server
+	if err := json.NewDecoder(request.Body).Decode(&server); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+
+		return
+	}
+
+	reply, err := f.control.Announce(request.Context(), &controlpb.Announcement{Server: &server})
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
+
+		return
+	}
+
+	answer := standin.Reply{
+		Code: reply.GetCode(), Reason: reply.GetReason(), Term: reply.GetTerm(), Primary: reply.GetPrimary(),
+		PrimaryAddress: reply.GetPrimaryAddress(),
+	}
+	for _, begin := range reply.GetHistory() {
+		answer.History = append(answer.History, standin.TermBegin{Term: begin.GetTerm(), LSN: position.LSN(begin.GetLsn())})
+	}
+
+	_ = json.NewEncoder(writer).Encode(answer)
+}
+
+// members starts the members of group g; the first is the primary.
+func (f *fixture) members(count int) []*standin.Member {
+	f.t.Helper()
+
+	members := make([]*standin.Member, count)
+
+	for i := range members {
+		members[i] = f.member(string(rune('a'+i)), i == 0)
+	}
+
+	f.eventually("all members count", func() error {
+		if g := f.group(); len(g.Members) != count || len(g.Previous) > 0 {
+			return fmt.Errorf("members %v, previous %v", g.Members, g.Previous)
+		}
+
+		return nil
+	})
+
+	return members
+}
+
+func (f *fixture) member(name string, primary bool) *standin.Member {
+	f.t.Helper()
+
+	member, err := standin.New(standin.Options{
+		Name: name, Group: "g", Listen: netip.MustParseAddrPort("127.0.0.1:0"), Primary: primary,
+		Announce: []string{f.announce}, AnnouncePeriod: 100 * time.Millisecond,
+	})
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = member.Close() })
+
+	return member
+}
+
+func (f *fixture) group() registry.Group {
+	return f.state.View().Groups["g"]
+}
+
+func (f *fixture) eventually(what string, condition func() error) {
+	f.t.Helper()
+
+	var err error
+
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if err = condition(); err == nil {
+			return
+		}
+	}
+
+	f.t.Fatalf("%s: %v", what, err)
+}
+
+func (f *fixture) suspect(server string) {
+	f.t.Helper()
+
+	_, err := f.control.Suspect(context.Background(), &controlpb.Suspicion{
+		Group: "g", Term: uint64(f.group().Term), Server: server, Observer: "test",
+	})
+	require.NoError(f.t, err)
+}
+
+// waitTerm waits until the group is stable in a term with all its members attached.
+func (f *fixture) waitTerm(term position.Term) registry.Group {
+	f.t.Helper()
+	f.eventually(fmt.Sprintf("term %d", term), func() error {
+		if g := f.group(); g.Term != term || g.Phase != registry.PhaseStable {
+			return fmt.Errorf("term %d, phase %s", g.Term, g.Phase)
+		}
+
+		return nil
+	})
+
+	return f.group()
+}
+
+// execute runs a statement and returns the first value of its last row.
+func (f *fixture) execute(member *standin.Member, sql string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+
+	conn, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://test@%s/main?sslmode=disable", member.Addr()))
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close(ctx)
+
+	results, err := conn.Exec(ctx, sql).ReadAll()
+	if err != nil {
+		return "", err
+	}
+
+	value := ""
+
+	for _, one := range results {
+		for _, row := range one.Rows {
+			value = string(row[0])
+		}
+	}
+
+	return value, nil
+}
+
+func (f *fixture) must(member *standin.Member, sql string) string {
+	f.t.Helper()
+
+	value, err := f.execute(member, sql)
+	require.NoError(f.t, err)
+
+	return value
+}
+
+// observe asks a member for its role and positions.
+func (f *fixture) observe(member *standin.Member) (backend.Observation, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+
+	admin, err := backend.OpenAdmin(ctx, member.Addr(), backend.Login{User: "almondgrade", Database: "main"}, "test")
+	if err != nil {
+		return backend.Observation{}, err
+	}
+	defer admin.Close()
+
+	return admin.Observe(ctx)
+}
+
+// waitReplicated waits until a replica has received everything that the primary holds.
+func (f *fixture) waitReplicated(primary, replica *standin.Member) {
+	f.t.Helper()
+
+	end, err := f.observe(primary)
+	require.NoError(f.t, err)
+	f.eventually("replica has received "+end.Insert.String(), func() error {
+		seen, err := f.observe(replica)
+		if err == nil && seen.Received < end.Insert {
+			err = fmt.Errorf("received %s", seen.Received)
+		}
+
+		return err
+	})
+}
+
+func byName(members []*standin.Member, name string) *standin.Member {
+	return members[name[0]-'a']
+}
+
+// Guards against a failover that loses what a replica had received, that leaves the old primary in place, or that
+// does not attach the other replica to the new primary.
+func TestFailoverAfterTheLossOfThePrimary(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	members := f.members(3)
+	f.must(members[0], "CREATE TABLE marks (id integer); INSERT INTO marks VALUES (7)")
+	f.waitReplicated(members[0], members[1])
+	require.NoError(t, members[0].Stop())
+	f.suspect("a")
+
+	group := f.waitTerm(2)
+	assert.NotEqual(t, "a", group.Primary)
+
+	primary := byName(members, group.Primary)
+	assert.Equal(t, "7", f.must(primary, "SELECT id FROM marks"))
+	f.must(primary, "INSERT INTO marks VALUES (8)")
+
+	other := members[1]
+	if group.Primary == "b" {
+		other = members[2]
+	}
+
+	f.waitReplicated(primary, other)
+
+	// The old primary comes back with a tail that nobody else has, and must lose it.
+	require.NoError(t, members[0].Start())
+	f.waitReplicated(primary, members[0])
+	f.eventually("the old primary shows the new data", func() error {
+		value, err := f.execute(members[0], "SELECT count(*) FROM marks")
+		if err == nil && value != "2" {
+			err = fmt.Errorf("%s rows", value)
+		}
+
+		return err
+	})
+}
+
+// Guards against a promotion without a fence quorum: with one of two replicas out of reach a write that only that
+// one holds could be lost.
+func TestNoPromotionWithoutFenceQuorum(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	members := f.members(3)
+	require.NoError(t, members[2].Stop())
+	require.NoError(t, members[0].Stop())
+	f.suspect("a")
+	f.eventually("fencing begins", func() error {
+		if f.group().Phase != registry.PhaseFencing {
+			return fmt.Errorf("phase %s", f.group().Phase)
+		}
+
+		return nil
+	})
+	f.eventually("the reachable replica is fenced", func() error {
+		seen, err := f.observe(members[1])
+		if err == nil && !seen.Follow.Fenced {
+			err = fmt.Errorf("follows %+v", seen.Follow)
+		}
+
+		return err
+	})
+	assert.Equal(t, registry.PhaseFencing, f.group().Phase)
+	assert.Equal(t, position.Term(1), f.group().Term)
+
+	// The second replica completes the quorum.
+	require.NoError(t, members[2].Start())
+	f.waitTerm(2)
+}
+
+// Guards against a failover that goes on although the primary serves again, and against replicas that stay fenced.
+func TestFailoverIsAbandonedWhenThePrimaryReturns(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	members := f.members(3)
+	require.NoError(t, members[2].Stop())
+	require.NoError(t, members[0].Stop())
+	f.suspect("a")
+	f.eventually("the reachable replica is fenced", func() error {
+		seen, err := f.observe(members[1])
+		if err == nil && !seen.Follow.Fenced {
+			err = fmt.Errorf("follows %+v", seen.Follow)
+		}
+
+		return err
+	})
+	require.NoError(t, members[0].Start())
+	f.eventually("the failover is abandoned", func() error {
+		if g := f.group(); g.Phase != registry.PhaseStable {
+			return fmt.Errorf("phase %s", g.Phase)
+		}
+
+		return nil
+	})
+	assert.Equal(t, position.Term(1), f.group().Term)
+	assert.Equal(t, "a", f.group().Primary)
+	f.must(members[0], "CREATE TABLE marks (id integer)")
+	f.waitReplicated(members[0], members[1])
+}
+
+// Guards against a failover on the word of one observer while the primary serves.
+func TestSuspicionOfAServingPrimaryIsDismissed(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.members(3)
+
+	before := f.state.View().Version
+
+	for range 5 {
+		f.suspect("a")
+	}
+
+	f.suspect("b")
+	f.must(f.member("d", false), "SELECT 1")
+	f.eventually("the next server is added meanwhile", func() error {
+		if len(f.group().Members) != 4 || f.state.View().Version == before {
+			return fmt.Errorf("members %v", f.group().Members)
+		}
+
+		return nil
+	})
+	assert.Equal(t, position.Term(1), f.group().Term)
+	assert.Equal(t, registry.PhaseStable, f.group().Phase)
+}
+
+// Guards against a failover that stops with its leader, and against a new leader that uses positions which the old
+// one gathered.
+func TestNewLeaderFinishesTheFailover(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	members := f.members(3)
+	require.NoError(t, members[2].Stop())
+	require.NoError(t, members[0].Stop())
+	f.suspect("a")
+	f.eventually("fencing begins", func() error {
+		if f.group().Phase != registry.PhaseFencing {
+			return fmt.Errorf("phase %s", f.group().Phase)
+		}
+
+		return nil
+	})
+	f.log.lead(false)
+	require.NoError(t, members[2].Start())
+	f.log.lead(true)
+	f.waitTerm(2)
+}
+
+// Guards against a planned move that loses a write or leaves the leaving server as primary.
+func TestDrainOfThePrimaryMovesIt(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	members := f.members(3)
+	f.must(members[0], "CREATE TABLE marks (id integer); INSERT INTO marks VALUES (7)")
+
+	reply, err := f.control.Drain(context.Background(), &controlpb.DrainRequest{Server: "a"})
+	require.NoError(t, err)
+	require.Zero(t, reply.GetCode(), reply.GetReason())
+
+	group := f.waitTerm(2)
+	assert.NotEqual(t, "a", group.Primary)
+	assert.Equal(t, "7", f.must(byName(members, group.Primary), "SELECT id FROM marks"))
+	f.must(byName(members, group.Primary), "INSERT INTO marks VALUES (8)")
+	f.eventually("the leaving server counts no longer", func() error {
+		if g := f.group(); len(g.Members) != 2 || len(g.Previous) > 0 {
+			return fmt.Errorf("members %v", g.Members)
+		}
+
+		return nil
+	})
+}
+
+// Guards against a replica that lost its data and still counts with what it had flushed before.
+func TestReplicaWithLostDataCountsOnlyAfterCatchingUp(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	members := f.members(3)
+	f.must(members[0], "CREATE TABLE marks (id integer); INSERT INTO marks VALUES (7)")
+
+	identity := f.group().Identities["b"]
+	require.NoError(t, members[1].LoseDisk())
+	f.eventually("the replica counts under its new identity", func() error {
+		g := f.group()
+		if len(g.Members) != 3 || len(g.Previous) > 0 || g.Identities["b"] == identity {
+			return fmt.Errorf("members %v, identities %v", g.Members, g.Identities)
+		}
+
+		return nil
+	})
+	f.waitReplicated(members[0], members[1])
+}
+
+// Guards against a second server that takes the name of a running one, and against a change that is accepted twice.
+func TestNameOfARunningServerIsRefused(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.members(1)
+
+	known := f.state.View().Servers["a"]
+	reply, err := f.control.Announce(context.Background(), &controlpb.Announcement{Server: &controlpb.Server{
+		Name: "a", Group: "g", Address: "127.0.0.1:9", Identity: "other", Incarnation: known.Incarnation + 1,
+	}})
+	require.NoError(t, err)
+	assert.Equal(t, uint32(result.NameClaimed), reply.GetCode())
+	assert.Equal(t, known.Identity, f.state.View().Servers["a"].Identity)
+}
