--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -166,7 +166,7 @@
 	if err != nil {
 		return Reply{}
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 
 	var reply Reply
 	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxReplyBytes)).Decode(&reply); err != nil {
--- a/internal/standin/execute.go
+++ b/internal/standin/execute.go
@@ -107,11 +107,11 @@
 		return nil, errorf(stateFailed, "current transaction is aborted, commands ignored until end of transaction block")
 	}
 
-	switch st.verb {
-	case verbBegin, verbCommit, verbRollback, verbSavepoint:
+	switch {
+	case st.is(verbBegin, verbCommit, verbRollback, verbSavepoint):
 		tag, err := s.control(st)
 		return &cursor{command: tag}, err
-	case verbRead, verbWrite, verbTemp:
+	case st.runsSQL():
 		s.begin()
 		return s.openSQL(st, args)
 	default:
@@ -125,7 +125,7 @@
 
 	cur := &cursor{command: st.tag}
 
-	switch st.verb {
+	switch st.verb { //nolint:exhaustive // The other verbs are handled by open.
 	case verbSet:
 		err = s.setStatement(st)
 	case verbReset:
@@ -205,10 +205,11 @@
 		return nil, err
 	}
 
-	switch st.verb {
-	case verbWrite:
+	if st.verb == verbWrite {
 		s.logChange(st, args, seed)
-	case verbTemp:
+	}
+
+	if st.verb == verbTemp {
 		s.noteTemporary(st)
 	}
 
@@ -235,7 +236,7 @@
 	}
 
 	if s.tx.snapshot {
-		if err := s.openTransaction("BEGIN"); err != nil {
+		if err := s.openTransaction(ctx, "BEGIN"); err != nil {
 			return err
 		}
 	}
--- a/internal/standin/extended.go
+++ b/internal/standin/extended.go
@@ -111,7 +111,7 @@
 
 // columnInfo returns SQLite's description of the columns without running the statement.
 func (s *session) columnInfo(st *statement) ([]sqlite.ColumnInfo, error) {
-	if st.verb != verbRead && st.verb != verbWrite && st.verb != verbTemp || st.words[0].is("lock") {
+	if !st.runsSQL() || st.words[0].is("lock") {
 		return nil, nil
 	}
 
@@ -178,7 +178,7 @@
 	if err != nil {
 		return row
 	}
-	defer rows.Close()
+	defer func() { _ = rows.Close() }()
 
 	if rows.Next() {
 		_ = rows.Scan(targets...)
--- a/internal/standin/functions.go
+++ b/internal/standin/functions.go
@@ -134,7 +134,7 @@
 	return e.now.UTC().Format(timestampForm), nil
 }
 
-func nowEpoch(e *environment, _ []driver.Value) (driver.Value, error) {
+func nowEpoch(_ *environment, _ []driver.Value) (driver.Value, error) {
 	return epoch(time.Now()), nil
 }
 
--- a/internal/standin/lex.go
+++ b/internal/standin/lex.go
@@ -48,25 +48,37 @@
 	return tokens
 }
 
-func scan(sql string) (kind, int) {
-	first, width := utf8.DecodeRuneInString(sql)
+func isDigit(r rune) bool {
+	return r >= '0' && r <= '9'
+}
 
+// scanSpace returns the length of the space or comment at the beginning, or zero.
+func scanSpace(sql string) int {
 	switch {
-	case unicode.IsSpace(first):
-		return space, len(sql) - len(strings.TrimLeftFunc(sql, unicode.IsSpace))
 	case strings.HasPrefix(sql, "--"):
-		return space, until(sql, 2, "\n")
+		return until(sql, 2, "\n")
 	case strings.HasPrefix(sql, "/*"):
-		return space, until(sql, 2, "*/")
-	case first == '\'':
-		return text, quote(sql, 0, false)
+		return until(sql, 2, "*/")
+	default:
+		return len(sql) - len(strings.TrimLeftFunc(sql, unicode.IsSpace))
+	}
+}
+
+func scan(sql string) (kind, int) {
+	if n := scanSpace(sql); n > 0 {
+		return space, n
+	}
+
+	first, width := utf8.DecodeRuneInString(sql)
+
+	switch {
 	case (first == 'e' || first == 'E') && len(sql) > 1 && sql[1] == '\'':
 		return text, quote(sql, 1, true)
-	case first == '"':
-		return quotedName, quote(sql, 0, false)
+	case first == '\'', first == '"':
+		return map[rune]kind{'\'': text, '"': quotedName}[first], quote(sql, 0, false)
 	case first == '$':
 		return scanDollar(sql)
-	case first >= '0' && first <= '9' || first == '.' && len(sql) > 1 && sql[1] >= '0' && sql[1] <= '9':
+	case isDigit(first):
 		return number, scanNumber(sql)
 	case first == '_' || unicode.IsLetter(first):
 		return word, len(sql) - len(strings.TrimLeftFunc(sql, func(r rune) bool {
@@ -127,9 +139,10 @@
 		c := sql[i]
 		exponent := i > 0 && (c == '+' || c == '-') && (sql[i-1] == 'e' || sql[i-1] == 'E')
 
-		if c != '.' && c != '_' && !exponent && (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') {
+		if c != '.' && !exponent && !isDigit(rune(c)) && c != '_' && !unicode.IsLetter(rune(c)) {
 			break
 		}
+
 		i++
 	}
 
--- a/internal/standin/replication.go
+++ b/internal/standin/replication.go
@@ -36,9 +36,14 @@
 }
 
 //nolint:gochecknoglobals // Constant codec; integers must come back as int64, the type that SQLite takes.
-var decoding, _ = cbor.DecOptions{IntDec: cbor.IntDecConvertSigned, MaxArrayElements: 1 << 24}.DecMode()
+var decoding, _ = cbor.DecOptions{IntDec: cbor.IntDecConvertSignedOrFail, MaxArrayElements: 1 << 24}.DecMode()
 
 const (
+	applicationName = "application_name"
+	clientAddress   = "client_addr"
+	userName        = "usename"
+	// replicationUser is the user of replicas, and the startup parameter that asks for replication.
+	replicationUser   = "replication"
 	replicationPrefix = "START_REPLICATION "
 	// keepalivePeriod is the longest time between two messages of a primary to a replica.
 	keepalivePeriod = 500 * time.Millisecond
@@ -68,7 +73,7 @@
 		fields[name] = strings.Trim(value, "'")
 	}
 
-	info := conninfo{application: fields["application_name"]}
+	info := conninfo{application: fields[applicationName]}
 	if fields["host"] != "" {
 		info.address = net.JoinHostPort(fields["host"], fields["port"])
 	}
@@ -412,7 +417,7 @@
 	}
 
 	l := newLink(conn, r.srv.member.faults, r.info.application)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 
 	unhook := context.AfterFunc(r.ctx, func() { _ = l.Close() })
 	defer unhook()
@@ -549,7 +554,7 @@
 	defer watchdog.Stop()
 
 	front.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{
-		"user": "replication", "replication": "true", "application_name": r.info.application,
+		"user": replicationUser, replicationUser: "true", applicationName: r.info.application,
 	}})
 
 	offer, err := json.Marshal(r.srv.store.wal.points(offeredPositions))
@@ -746,7 +751,7 @@
 
 	for _, f := range srv.followers {
 		rows = append(rows, map[string]any{
-			"pid": f.pid, "usename": "replication", "application_name": f.application, "client_addr": f.client,
+			"pid": f.pid, userName: replicationUser, applicationName: f.application, clientAddress: f.client,
 			"state": "streaming", "sent_lsn": optionalLSN(f.sent.Load()), "write_lsn": optionalLSN(f.flushed.Load()),
 			"flush_lsn": optionalLSN(f.flushed.Load()), "replay_lsn": optionalLSN(f.replayed.Load()), "sync_state": "async",
 		})
--- a/internal/standin/rewrite.go
+++ b/internal/standin/rewrite.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 )
 
 type verb uint8
 
+const selectVerb = "select"
+
 const (
 	verbRead verb = iota
 	verbWrite
@@ -51,15 +54,16 @@
 	verbs       = map[string]verb{
 		"begin": verbBegin, "start": verbBegin, "commit": verbCommit, "end": verbCommit, "rollback": verbRollback,
 		"abort": verbRollback, "savepoint": verbSavepoint, "release": verbSavepoint, "set": verbSet, "show": verbShow,
-		"reset": verbReset, "discard": verbDiscard, "copy": verbCopy, "select": verbRead, "values": verbRead,
+		"reset": verbReset, "discard": verbDiscard, "copy": verbCopy, selectVerb: verbRead, "values": verbRead,
 		"table": verbRead, "explain": verbRead, "with": verbRead, "listen": verbNothing, "unlisten": verbNothing,
-		"notify": verbNothing, "vacuum": verbNothing, "analyze": verbNothing, "checkpoint": verbNothing,
+		"notify": verbNothing, "vacuum": verbNothing, "analyze": verbNothing, //nolint:misspell // The keyword of PostgreSQL.
+		"checkpoint": verbNothing,
 		"deallocate": verbNothing, "insert": verbWrite, "update": verbWrite, "delete": verbWrite, "create": verbWrite,
 		"drop": verbWrite, "alter": verbWrite, "truncate": verbWrite, "lock": verbWrite, "comment": verbNothing,
 		"grant": verbNothing, "revoke": verbNothing,
 	}
 	countedTags = map[string]string{
-		"insert": "INSERT 0", "update": "UPDATE", "delete": "DELETE", "select": "SELECT", "values": "SELECT",
+		"insert": "INSERT 0", "update": "UPDATE", "delete": "DELETE", selectVerb: "SELECT", "values": "SELECT",
 		"table": "SELECT",
 	}
 )
@@ -93,7 +97,7 @@
 
 	first := strings.ToLower(st.words[0].raw)
 	if first == "(" {
-		first = "select"
+		first = selectVerb
 	}
 
 	known, ok := verbs[first]
@@ -124,7 +128,7 @@
 		st.classifyDefinition(main)
 	case "insert", "update", "delete":
 		st.rows = st.has("returning")
-	case "select", "values", "table", "explain":
+	case selectVerb, "values", "table", "explain":
 		st.rows = true
 		st.locks = st.sequence("for", "update") || st.sequence("for", "share") || st.sequence("for", "no")
 	case "truncate":
@@ -161,7 +165,7 @@
 
 // mainVerb returns the verb of a statement that begins with WITH.
 func (st *statement) mainVerb() string {
-	depth, main := 0, "select"
+	depth, main := 0, selectVerb
 
 	for _, t := range st.words {
 		switch {
@@ -200,6 +204,15 @@
 	return false
 }
 
+func (st *statement) is(verbs ...verb) bool {
+	return slices.Contains(verbs, st.verb)
+}
+
+// runsSQL reports whether SQLite runs the statement.
+func (st *statement) runsSQL() bool {
+	return st.is(verbRead, verbWrite, verbTemp)
+}
+
 // at returns the word at an index, or a token that equals nothing.
 func (st *statement) at(i int) token {
 	if i < 0 || i >= len(st.words) {
@@ -213,20 +226,23 @@
 // environment that they run in.
 const functionPrefix = "ag_"
 
+// sqliteInteger is the type name that makes a primary key an alias of SQLite's row number.
+const sqliteInteger = "INTEGER"
+
 //nolint:gochecknoglobals // Constant tables.
 var (
 	castTypes = map[string]string{
-		"int": "INTEGER", "int2": "INTEGER", "int4": "INTEGER", "int8": "INTEGER", "integer": "INTEGER",
-		"bigint": "INTEGER", "smallint": "INTEGER", "oid": "INTEGER", "float4": "REAL", "float8": "REAL", "real": "REAL",
+		"int": sqliteInteger, "int2": sqliteInteger, "int4": sqliteInteger, "int8": sqliteInteger,
+		"integer": sqliteInteger, "bigint": sqliteInteger, "smallint": sqliteInteger, "oid": sqliteInteger, "float4": "REAL", "float8": "REAL", "real": "REAL",
 		"double": "REAL", "numeric": "NUMERIC", "decimal": "NUMERIC", "bytea": "BLOB",
 	}
 	serialTypes = []string{"serial", "bigserial", "smallserial", "serial4", "serial8"}
 	viewColumns = map[string][]string{
 		"pg_stat_activity": {
-			"pid", "datname", "usename", "application_name", "client_addr", "state", "query", "backend_type",
+			"pid", "datname", userName, applicationName, clientAddress, "state", "query", "backend_type",
 		},
 		"pg_stat_replication": {
-			"pid", "usename", "application_name", "client_addr", "state", "sent_lsn", "write_lsn", "flush_lsn",
+			"pid", userName, applicationName, clientAddress, "state", "sent_lsn", "write_lsn", "flush_lsn",
 			"replay_lsn", "sync_state",
 		},
 		"pg_stat_wal_receiver": {
@@ -271,7 +287,7 @@
 func (r *rewriter) step() {
 	t := r.in[r.pos]
 
-	switch t.kind {
+	switch t.kind { //nolint:exhaustive // The other kinds need no change.
 	case parameter:
 		r.emit("?" + t.raw[1:])
 	case text:
@@ -304,7 +320,7 @@
 
 	// Operators of several characters must stay together.
 	previous := r.peek(-1)
-	if len(r.out) > 0 && previous.kind == symbol && strings.Contains("<>=!|-", previous.raw) && strings.Contains("<>=|", t.raw) {
+	if len(r.out) > 0 && previous.is("<", ">", "=", "!", "|", "-") && t.is("<", ">", "=", "|") {
 		r.out[len(r.out)-1] += t.raw
 		return
 	}
@@ -316,8 +332,7 @@
 	name := strings.ToLower(t.raw)
 
 	switch {
-	case (name == "public" || name == "pg_catalog") && r.peek(1).is("."):
-		r.pos++
+	case r.skip(name):
 	case viewColumns[name] != nil && r.peek(-1).is("from", "join", ",", "."):
 		r.view(name)
 	case name == "extract" && r.peek(1).is("(") && r.peek(2).is("epoch") && r.peek(3).is("from"):
@@ -329,8 +344,6 @@
 		r.call(name)
 	case name == "current_user" || name == "session_user":
 		r.emit(functionPrefix+"current_user(", fmt.Sprint(r.key), ")")
-	case name == "for" && r.peek(1).is("update", "share", "no", "key") && r.depth == 0:
-		r.pos = len(r.in) // The lock is taken by the server.
 	case name == "like":
 		r.emit(t.raw)
 		r.like()
@@ -340,14 +353,39 @@
 		if r.peek(1).is("table") {
 			r.pos++
 		}
-	case name == "default" && r.peek(1).is("now") && r.peek(2).is("("):
+	case r.definition(t):
+	default:
+		r.emit(t.raw)
+	}
+}
+
+// definition rewrites what occurs in column definitions.
+func (r *rewriter) definition(t token) bool {
+	switch {
+	case t.is("default") && r.peek(1).is("now") && r.peek(2).is("("):
 		r.emit("DEFAULT CURRENT_TIMESTAMP")
 		r.pos += 3
-	case token{word, name}.is(serialTypes...):
-		r.emit("INTEGER")
+	case t.is(serialTypes...):
+		r.emit(sqliteInteger)
 	default:
-		r.emit(t.raw)
+		return false
 	}
+
+	return true
+}
+
+// skip leaves out the names of built-in schemas and the clause for row locks, which the server takes itself.
+func (r *rewriter) skip(name string) bool {
+	switch {
+	case (name == "public" || name == "pg_catalog") && r.peek(1).is("."):
+		r.pos++
+	case name == "for" && r.peek(1).is("update", "share", "no", "key") && r.depth == 0:
+		r.pos = len(r.in)
+	default:
+		return false
+	}
+
+	return true
 }
 
 // call writes the call of a server function up to its first argument.
--- a/internal/standin/session.go
+++ b/internal/standin/session.go
@@ -49,7 +49,7 @@
 // serve runs the protocol on a new connection.
 func (srv *server) serve(conn net.Conn) {
 	l := newLink(conn, srv.member.faults, "")
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 
 	unhook := context.AfterFunc(srv.ctx, func() { _ = l.Close() })
 	defer unhook()
@@ -64,14 +64,14 @@
 
 	_ = l.SetReadDeadline(time.Time{})
 
-	if startup.Parameters["replication"] == "true" {
-		srv.serveReplica(l, back, startup.Parameters["application_name"])
+	if startup.Parameters[replicationUser] == "true" {
+		srv.serveReplica(l, back, startup.Parameters[applicationName])
 		return
 	}
 
 	s := &session{
 		srv: srv, link: l, back: back, secret: rand.Uint32(), user: startup.Parameters["user"],
-		database: startup.Parameters["database"], application: startup.Parameters["application_name"],
+		database: startup.Parameters["database"], application: startup.Parameters[applicationName],
 		started: time.Now(), state: "idle", temporary: map[string]bool{}, statements: map[string]*prepared{},
 		portals: map[string]*portal{},
 	}
@@ -107,7 +107,7 @@
 
 			return nil, nil
 		case *pgproto3.StartupMessage:
-			l.setPeer(message.Parameters["application_name"])
+			l.setPeer(message.Parameters[applicationName])
 			return message, nil
 		}
 	}
@@ -211,7 +211,7 @@
 	s.settings.init()
 
 	for name, value := range parameters {
-		if name == "user" || name == "database" || name == "replication" || name == "options" {
+		if name == "user" || name == "database" || name == replicationUser || name == "options" {
 			continue
 		}
 
@@ -501,8 +501,8 @@
 	defer s.mu.Unlock()
 
 	return map[string]any{
-		"pid": s.pid, "datname": s.database, "usename": s.user, "application_name": s.application, "state": s.state,
-		"query": s.query, "client_addr": s.link.RemoteAddr().String(), "backend_type": "client backend",
+		"pid": s.pid, "datname": s.database, userName: s.user, applicationName: s.application, "state": s.state,
+		"query": s.query, clientAddress: s.link.RemoteAddr().String(), "backend_type": "client backend",
 	}
 }
 
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -10,6 +10,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
+const defaultReadOnlyName = "default_transaction_read_only"
+
 // settings are the parameters that a session has set.
 type settings struct {
 	values   map[string]string
@@ -59,7 +61,7 @@
 var (
 	// reported parameters are sent to the client at startup and on change.
 	reported = []string{
-		"server_version", "server_encoding", "client_encoding", "application_name", "default_transaction_read_only",
+		"server_version", "server_encoding", "client_encoding", applicationName, defaultReadOnlyName,
 		"in_hot_standby", "is_superuser", "session_authorization", "DateStyle", "IntervalStyle", "TimeZone",
 		"integer_datetimes", "standard_conforming_strings",
 	}
@@ -70,7 +72,7 @@
 		"idle_in_transaction_session_timeout": "0", "search_path": `"$user", public`, "extra_float_digits": "1",
 		"transaction_isolation": "read committed", "default_transaction_isolation": "read committed",
 		"bytea_output": "hex", "client_min_messages": "notice", "synchronous_commit": "on", "work_mem": "4MB",
-		"application_name": "", "primary_conninfo": "", "row_security": "on", "max_connections": "0",
+		applicationName: "", "primary_conninfo": "", "row_security": "on", "max_connections": "0",
 	}
 )
 
@@ -81,7 +83,7 @@
 	switch name {
 	case "transaction_read_only":
 		return onOff(!s.srv.isPrimary() || s.tx.begun && s.tx.readOnly || !s.tx.begun && s.defaultReadOnly()), nil
-	case "default_transaction_read_only":
+	case defaultReadOnlyName:
 		return onOff(s.defaultReadOnly()), nil
 	case "in_hot_standby":
 		return onOff(!s.srv.isPrimary()), nil
@@ -101,13 +103,17 @@
 		return value, nil
 	}
 
-	return "", errorf(stateUndefinedParam, "unrecognized configuration parameter %q", name)
+	return "", unknownParameter(name)
 }
 
 func (s *session) settingNames() []string {
 	return slices.Sorted(maps.Keys(parameterDefaults))
 }
 
+func unknownParameter(name string) error {
+	return errorf(stateUndefinedParam, "parameter %q is not known", name)
+}
+
 func onOff(on bool) string {
 	if on {
 		return "on"
@@ -117,9 +123,9 @@
 }
 
 func (s *session) defaultReadOnly() bool {
-	value, ok := s.settings.values["default_transaction_read_only"]
+	value, ok := s.settings.values[defaultReadOnlyName]
 	if !ok {
-		value = s.srv.setting("default_transaction_read_only")
+		value = s.srv.setting(defaultReadOnlyName)
 	}
 
 	on, err := parseBool(value)
@@ -149,12 +155,12 @@
 		return errorf("55P02", "parameter %q cannot be changed now", name)
 	case name == "transaction_read_only":
 		return s.characteristics([]token{{word, "read"}, {word, map[bool]string{true: "only", false: "write"}[value == "on"]}})
-	case name == "default_transaction_read_only":
+	case name == defaultReadOnlyName:
 		if _, err := parseBool(value); err != nil {
 			return err
 		}
 	case !known && !strings.Contains(name, "."):
-		return errorf(stateUndefinedParam, "unrecognized configuration parameter %q", name)
+		return unknownParameter(name)
 	}
 
 	if local {
@@ -173,7 +179,7 @@
 func (s *session) noteSetting(name string) {
 	value, _ := s.show(name)
 
-	if name == "application_name" {
+	if name == applicationName {
 		s.mu.Lock()
 		s.application = value
 		s.mu.Unlock()
@@ -205,7 +211,7 @@
 	case words[0].is("characteristics"):
 		for i := range words[:len(words)-1] {
 			if words[i].is("read") {
-				return s.set("default_transaction_read_only", onOff(words[i+1].is("only")), false)
+				return s.set(defaultReadOnlyName, onOff(words[i+1].is("only")), false)
 			}
 		}
 
@@ -318,8 +324,8 @@
 		name, value, found := assignment(words[1:])
 		name = strings.ToLower(name)
 
-		if _, known := parameterDefaults[name]; !known && name != "default_transaction_read_only" {
-			return errorf(stateUndefinedParam, "unrecognized configuration parameter %q", name)
+		if _, known := parameterDefaults[name]; !known && name != defaultReadOnlyName {
+			return unknownParameter(name)
 		}
 
 		if found {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -88,10 +88,6 @@
 	return eris.Wrap(os.Rename(s.path("state.new"), s.path("state")), "write state")
 }
 
-func (s *store) setting(name string) string {
-	return s.state.Settings[name]
-}
-
 func (s *store) setSettings(values map[string]string) error {
 	s.state.Settings = maps.Clone(values)
 
--- a/internal/standin/transaction.go
+++ b/internal/standin/transaction.go
@@ -102,15 +102,15 @@
 		return nil
 	}
 
-	return s.openTransaction("BEGIN IMMEDIATE")
+	return s.openTransaction(ctx, "BEGIN IMMEDIATE")
 }
 
-func (s *session) openTransaction(command string) error {
+func (s *session) openTransaction(ctx context.Context, command string) error {
 	if s.tx.open {
 		return nil
 	}
 
-	if _, err := s.conn.ExecContext(context.Background(), command); err != nil {
+	if _, err := s.conn.ExecContext(ctx, command); err != nil {
 		return err
 	}
 
@@ -223,7 +223,7 @@
 
 // control runs a statement of transaction control and returns its tag.
 func (s *session) control(st *statement) (string, error) {
-	switch st.verb {
+	switch st.verb { //nolint:exhaustive // The other verbs don't control transactions.
 	case verbBegin:
 		if s.tx.block {
 			return st.tag, nil // PostgreSQL warns only.
