--- /dev/null
+++ b/core/statement/statement.go
@@ -0,0 +1,536 @@
+package statement
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Kind is what a statement means for the path of a request.
+type Kind uint8
+
+// The kinds of statements.
+const (
+	// Write is everything that is not known to be something else.
+	Write Kind = iota
+	// Read is a query that only reads.
+	Read
+	// Begin starts a transaction, read-only if Statement.ReadOnly.
+	Begin
+	// Commit ends a transaction.
+	Commit
+	// Rollback ends a transaction and discards it.
+	Rollback
+	// Savepoint, Release and RollbackTo concern the savepoint Statement.Name.
+	Savepoint
+	Release
+	RollbackTo
+	// Set changes the session parameter Statement.Name to Statement.Value, until the end of the transaction if
+	// Statement.Local.
+	Set
+	// Reset restores the parameter Statement.Name, or all of them if the name is "all".
+	Reset
+	// Show returns the parameter Statement.Name.
+	Show
+	// Discard drops state of the session; Statement.Name is what, such as "all".
+	Discard
+	// Deallocate drops the prepared statement Statement.Name, or all of them if it is All.
+	Deallocate
+	// Copy is COPY FROM STDIN, CopyOut is COPY TO STDOUT.
+	Copy
+	CopyOut
+)
+
+// Statement is one statement of a text.
+type Statement struct {
+	Kind Kind
+	// Text is the statement without the semicolon behind it.
+	Text string
+	// Name and Value belong to some kinds. Value is SQL text that may stand behind SET NAME =.
+	Name  string
+	Value string
+	// Literal is the value without quotes, if it is a single token.
+	Literal string
+	// All tells DEALLOCATE ALL from a statement of that name.
+	All bool
+	// ReadOnly is true for BEGIN READ ONLY.
+	ReadOnly bool
+	// Local is true for SET LOCAL.
+	Local bool
+	// Pins is true if the statement leaves state on the connection that only DISCARD ALL or the connection's
+	// end removes.
+	Pins bool
+	// Chain is true for COMMIT AND CHAIN and ROLLBACK AND CHAIN.
+	Chain bool
+}
+
+// Prefix begins the names of parameters that the proxy itself serves.
+const Prefix = "almondgrade."
+
+// Own reports whether the statement concerns the proxy itself.
+func (s *Statement) Own() bool {
+	return (s.Kind == Set || s.Kind == Show || s.Kind == Reset) && strings.HasPrefix(s.Name, Prefix)
+}
+
+// Classify splits a text into statements. Empty statements are left out.
+func Classify(text string) []Statement {
+	lexer := lexer{text: text}
+
+	// One statement is by far the most frequent case.
+	statements := make([]Statement, 0, 1)
+
+	var (
+		buffer [16]token
+		body   int
+	)
+
+	tokens := buffer[:0]
+
+	for {
+		next := lexer.next()
+
+		switch next.kind {
+		case tokenWord:
+			if len(tokens) > 0 && (next.is("begin") || next.is("case")) && (body > 0 || next.is("begin") && atomic(tokens)) {
+				body++
+			} else if body > 0 && next.is("end") {
+				body--
+			}
+		case tokenSemicolon, tokenEnd, tokenBroken:
+			if next.kind == tokenBroken {
+				tokens = append(tokens, next)
+			} else if next.kind == tokenSemicolon && body > 0 {
+				// A semicolon inside BEGIN ATOMIC ... END does not end the statement.
+				continue
+			}
+
+			if len(tokens) > 0 {
+				first, last := tokens[0], tokens[len(tokens)-1]
+				statement := classify(tokens, text)
+				statement.Text = text[first.start:last.end]
+				statements = append(statements, statement)
+			}
+
+			if next.kind != tokenSemicolon {
+				return statements
+			}
+
+			tokens, body = tokens[:0], 0
+
+			continue
+		}
+
+		tokens = append(tokens, next)
+	}
+}
+
+// atomic reports whether a statement is one whose body may hold statements: CREATE FUNCTION or PROCEDURE.
+func atomic(tokens []token) bool {
+	if !tokens[0].is("create") {
+		return false
+	}
+
+	for _, t := range tokens[1:] {
+		if t.is("function") || t.is("procedure") {
+			return true
+		}
+	}
+
+	return false
+}
+
+//nolint:gocyclo // One case for each keyword that begins a statement.
+func classify(tokens []token, text string) Statement {
+	if tokens[len(tokens)-1].kind == tokenBroken {
+		return Statement{Kind: Write}
+	}
+
+	first := tokens[0]
+	if first.kind == tokenOther && first.text == "(" {
+		return query(tokens)
+	}
+
+	if first.kind != tokenWord {
+		return Statement{Kind: Write}
+	}
+
+	switch strings.ToLower(first.text) {
+	case "select", "with", "values", "table":
+		return query(tokens)
+	case "explain":
+		return explain(tokens)
+	case "begin":
+		return Statement{Kind: Begin, ReadOnly: readOnly(tokens)}
+	case "start":
+		if len(tokens) > 1 && tokens[1].is("transaction") {
+			return Statement{Kind: Begin, ReadOnly: readOnly(tokens)}
+		}
+	case "commit", "end":
+		if word(tokens, 1) == "prepared" {
+			return Statement{Kind: Write}
+		}
+
+		return Statement{Kind: Commit, Chain: chain(tokens)}
+	case "abort":
+		return Statement{Kind: Rollback, Chain: chain(tokens)}
+	case "rollback":
+		return rollback(tokens)
+	case "savepoint":
+		return Statement{Kind: Savepoint, Name: name(tokens, 1)}
+	case "release":
+		return Statement{Kind: Release, Name: tokens[len(tokens)-1].name()}
+	case "set":
+		return set(tokens, text)
+	case "reset":
+		return reset(tokens)
+	case "show":
+		return Statement{Kind: Show, Name: parameter(tokens[1:])}
+	case "discard":
+		return Statement{Kind: Discard, Name: word(tokens, 1)}
+	case "deallocate":
+		return deallocate(tokens)
+	case "copy":
+		return copying(tokens)
+	case "prepare":
+		// PREPARE TRANSACTION leaves nothing on the connection.
+		return Statement{Kind: Write, Pins: word(tokens, 1) != "transaction"}
+	case "listen", "unlisten", "load":
+		return Statement{Kind: Write, Pins: true}
+	case "create":
+		return Statement{Kind: Write, Pins: temporary(tokens)}
+	case "declare":
+		return Statement{Kind: Write, Pins: withHold(tokens)}
+	}
+
+	pins, _ := functions(tokens)
+
+	return Statement{Kind: Write, Pins: pins}
+}
+
+// query classifies a statement that begins like one that only reads.
+func query(tokens []token) Statement {
+	pins, primary := functions(tokens)
+	if pins || primary {
+		return Statement{Kind: Write, Pins: pins}
+	}
+
+	for i, t := range tokens {
+		if t.kind != tokenWord {
+			continue
+		}
+
+		switch strings.ToLower(t.text) {
+		case "insert", "update", "delete", "merge":
+			// A column may have such a name only behind a dot or in quotes, or FOR UPDATE is meant.
+			return Statement{Kind: Write}
+		case "into":
+			return Statement{Kind: Write, Pins: word(tokens, i+1) == "temp" || word(tokens, i+1) == "temporary"}
+		case "for":
+			switch word(tokens, i+1) {
+			case "update", "share", "no", "key":
+				return Statement{Kind: Write}
+			}
+		}
+	}
+
+	return Statement{Kind: Read}
+}
+
+// explain classifies EXPLAIN, which runs its statement only with ANALYZE.
+func explain(tokens []token) Statement {
+	analyze := false
+
+	for _, t := range tokens[1:] {
+		if t.is("analyze") || t.is("analyse") {
+			analyze = true
+		}
+	}
+
+	if !analyze {
+		return Statement{Kind: Read}
+	}
+
+	depth := 0
+
+	for i, t := range tokens[1:] {
+		switch {
+		case t.text == "(" && t.kind == tokenOther:
+			depth++
+		case t.text == ")" && t.kind == tokenOther:
+			depth--
+		case depth == 0 && (t.is("select") || t.is("with") || t.is("values") || t.is("table")):
+			return query(tokens[1+i:])
+		case depth == 0 && !t.is("analyze") && !t.is("analyse") && !t.is("verbose"):
+			return Statement{Kind: Write}
+		}
+	}
+
+	return Statement{Kind: Write}
+}
+
+// functions looks for calls of functions that need the primary, and of those that leave state on the connection.
+func functions(tokens []token) (pins, primary bool) {
+	for i, t := range tokens {
+		if t.kind != tokenWord && t.kind != tokenQuoted || i+1 >= len(tokens) || tokens[i+1].text != "(" {
+			continue
+		}
+
+		name := t.name()
+
+		switch name {
+		case "nextval", "setval", "currval", "lastval", "pg_notify", "txid_current", "pg_current_xact_id",
+			"pg_terminate_backend", "pg_cancel_backend", "pg_reload_conf", "pg_promote", "pg_switch_wal":
+			primary = true
+		case "set_config":
+			primary = true
+			pins = pins || !localConfig(tokens[i+1:])
+		}
+
+		if strings.HasPrefix(name, "pg_advisory") || strings.HasPrefix(name, "pg_try_advisory") {
+			primary = true
+			pins = pins || !strings.Contains(name, "xact")
+		}
+	}
+
+	return pins, primary
+}
+
+// localConfig reports whether the arguments of set_config end with the constant true, which limits the change to
+// the transaction.
+func localConfig(tokens []token) bool {
+	depth := 0
+
+	for i, t := range tokens {
+		if t.kind != tokenOther {
+			continue
+		}
+
+		switch t.text {
+		case "(":
+			depth++
+		case ")":
+			depth--
+			if depth == 0 {
+				return tokens[i-1].is("true") && tokens[i-2].text == ","
+			}
+		}
+	}
+
+	return false
+}
+
+func readOnly(tokens []token) bool {
+	result := false
+
+	for i, t := range tokens {
+		if t.is("read") {
+			result = word(tokens, i+1) == "only"
+		}
+	}
+
+	return result
+}
+
+func chain(tokens []token) bool {
+	last := len(tokens) - 1
+
+	return last > 0 && tokens[last].is("chain") && !tokens[last-1].is("no")
+}
+
+func rollback(tokens []token) Statement {
+	for i, t := range tokens {
+		if i > 0 && t.is("prepared") && i == 1 {
+			return Statement{Kind: Write}
+		}
+
+		if i > 0 && t.is("to") {
+			return Statement{Kind: RollbackTo, Name: tokens[len(tokens)-1].name()}
+		}
+	}
+
+	return Statement{Kind: Rollback, Chain: chain(tokens)}
+}
+
+// set classifies SET [SESSION | LOCAL] NAME { = | TO } VALUE and its special forms.
+func set(tokens []token, text string) Statement {
+	rest := tokens[1:]
+	local := false
+
+	switch {
+	case len(rest) > 1 && rest[0].is("local"):
+		local = true
+		rest = rest[1:]
+	case len(rest) > 1 && rest[0].is("session") && !rest[1].is("characteristics") && !rest[1].is("authorization"):
+		rest = rest[1:]
+	}
+
+	switch {
+	case len(rest) > 0 && (rest[0].is("transaction") || rest[0].is("constraints")):
+		return Statement{Kind: Write}
+	case len(rest) > 0 && (rest[0].is("role") || rest[0].is("session")):
+		// SET ROLE, SET SESSION AUTHORIZATION and SET SESSION CHARACTERISTICS.
+		return Statement{Kind: Write, Pins: !local}
+	case len(rest) == 2 && rest[0].is("names"):
+		return assignment("client_encoding", rest[1:], text, local)
+	case len(rest) > 2 && rest[0].is("time") && rest[1].is("zone"):
+		return assignment("timezone", rest[2:], text, local)
+	}
+
+	for i, t := range rest {
+		if i > 0 && (t.is("to") || t.kind == tokenOther && t.text == "=") && i+1 < len(rest) {
+			return assignment(parameter(rest[:i]), rest[i+1:], text, local)
+		}
+	}
+
+	// SET SCHEMA and whatever else sets a parameter under another name.
+	return Statement{Kind: Write, Pins: !local}
+}
+
+func assignment(name string, value []token, text string, local bool) Statement {
+	if name == "role" || name == "session_authorization" {
+		return Statement{Kind: Write, Pins: !local}
+	}
+
+	result := Statement{Kind: Set, Name: name, Local: local, Value: text[value[0].start:value[len(value)-1].end]}
+	if len(value) == 1 {
+		result.Literal = value[0].text
+	}
+
+	if len(value) == 1 && value[0].is("default") {
+		result = Statement{Kind: Reset, Name: name, Local: local}
+	}
+
+	return result
+}
+
+func reset(tokens []token) Statement {
+	switch {
+	case len(tokens) == 3 && tokens[1].is("time") && tokens[2].is("zone"):
+		return Statement{Kind: Reset, Name: "timezone"}
+	case word(tokens, 1) == "role" || word(tokens, 1) == "session":
+		return Statement{Kind: Write, Pins: true}
+	}
+
+	return Statement{Kind: Reset, Name: parameter(tokens[1:])}
+}
+
+func deallocate(tokens []token) Statement {
+	at := 1
+	if word(tokens, 1) == "prepare" && len(tokens) > 2 {
+		at = 2
+	}
+
+	return Statement{Kind: Deallocate, Name: name(tokens, at), All: word(tokens, at) == "all"}
+}
+
+// copying classifies COPY. COPY TO STDOUT of a table or of a query that only reads is still sent as a write only
+// when the query may write.
+func copying(tokens []token) Statement {
+	depth := 0
+
+	for i, t := range tokens {
+		switch {
+		case t.kind == tokenOther && t.text == "(":
+			depth++
+		case t.kind == tokenOther && t.text == ")":
+			depth--
+		case depth == 0 && t.is("from"):
+			if word(tokens, i+1) == "stdin" {
+				return Statement{Kind: Copy}
+			}
+
+			return Statement{Kind: Write}
+		case depth == 0 && t.is("to"):
+			if word(tokens, i+1) != "stdout" {
+				return Statement{Kind: Write}
+			}
+
+			if inner := query(tokens[1:i]); inner.Kind != Read {
+				return inner
+			}
+
+			return Statement{Kind: CopyOut}
+		}
+	}
+
+	return Statement{Kind: Write}
+}
+
+func temporary(tokens []token) bool {
+	for _, t := range tokens[1:min(len(tokens), 5)] {
+		if t.is("temp") || t.is("temporary") {
+			return true
+		}
+	}
+
+	return false
+}
+
+func withHold(tokens []token) bool {
+	for i, t := range tokens {
+		if t.is("hold") && i > 0 && tokens[i-1].is("with") {
+			return true
+		}
+	}
+
+	return false
+}
+
+// parameter joins the tokens of a parameter's name, such as almondgrade.token, in lower case: the server compares
+// names of parameters without regard to case.
+func parameter(tokens []token) string {
+	if len(tokens) == 1 {
+		return strings.ToLower(tokens[0].text)
+	}
+
+	if len(tokens) == 2 && tokens[0].is("time") && tokens[1].is("zone") {
+		return "timezone"
+	}
+
+	var name strings.Builder
+	for _, t := range tokens {
+		name.WriteString(strings.ToLower(t.text))
+	}
+
+	return name.String()
+}
+
+func word(tokens []token, at int) string {
+	if at < len(tokens) && tokens[at].kind == tokenWord {
+		return strings.ToLower(tokens[at].text)
+	}
+
+	return ""
+}
+
+func name(tokens []token, at int) string {
+	if at < len(tokens) {
+		return tokens[at].name()
+	}
+
+	return ""
+}
+
+// Parameters returns the number of the highest parameter in a text, such as 2 for a text with $1 and $2.
+func Parameters(text string) int {
+	lexer := lexer{text: text}
+	highest := 0
+
+	for {
+		next := lexer.next()
+
+		switch next.kind {
+		case tokenEnd, tokenBroken:
+			return highest
+		case tokenOther:
+			if len(next.text) < 2 || next.text[0] != '$' {
+				continue
+			}
+
+			// The protocol allows no more than 65535 parameters.
+			if number, err := strconv.ParseUint(next.text[1:], 10, 16); err == nil {
+				highest = max(highest, int(number))
+			}
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/io/caller/accept.go
@@ -0,0 +1,365 @@
+package caller
+
+import (
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"almondgrade/core/result"
+	"almondgrade/io/wire"
+)
+
+const (
+	// startupBytes is the greatest size of a startup packet, the same as PostgreSQL's.
+	startupBytes = 10_000
+	// startupHead is the size of a startup packet's length and code.
+	startupHead = 8
+	// startupRounds bounds the requests for encryption before the startup message.
+	startupRounds = 3
+
+	codeSSL     = 80877103
+	codeCancel  = 80877102
+	codeGSS     = 80877104
+	majorShift  = 16
+	minorMask   = 1<<majorShift - 1
+	majorWanted = 3
+	// newestMinor is the newest minor version of the protocol that is spoken.
+	newestMinor = 2
+	// minorLongSecret is the first minor version with cancel keys longer than four bytes.
+	minorLongSecret = 2
+	optionPrefix    = "_pq_."
+)
+
+// Options configures Accept.
+type Options struct {
+	// TLS enables encryption if it is not nil.
+	TLS *tls.Config
+	// Startup bounds the time until the caller is logged in.
+	Startup time.Duration
+	// Stall bounds the time for which a caller may read nothing of an answer that is ready.
+	Stall time.Duration
+	// MessageLimit bounds one message, in bytes.
+	MessageLimit int
+	// Verifier returns the SCRAM-SHA-256 verifier of a user; it is empty for a user who is trusted. It reports
+	// false for an unknown user.
+	Verifier func(user string) (string, bool)
+	// Admit is called with the startup parameters before login. Its error refuses the caller.
+	Admit func(parameters map[string]string) error
+}
+
+// CancelRequest asks to cancel what the holder of a key runs.
+type CancelRequest struct {
+	Process uint32
+	Secret  []byte
+}
+
+// Accepted is the result of Accept: a connection that is logged in, or a cancel request.
+type Accepted struct {
+	Conn       *Conn
+	Cancel     *CancelRequest
+	Parameters map[string]string
+	// LongSecret is true if the caller's protocol version allows cancel keys longer than four bytes.
+	LongSecret bool
+}
+
+// Accept takes a new connection through startup and login. On an error the caller has been told, if it could be,
+// and the connection is closed; it is also closed after a cancel request has been read. The error of a caller that
+// went away without a word wraps io.EOF.
+func Accept(conn net.Conn, options Options) (*Accepted, error) {
+	if err := conn.SetDeadline(time.Now().Add(options.Startup)); err != nil {
+		_ = conn.Close()
+
+		return nil, err
+	}
+
+	accepted, err := accept(conn, options)
+	if err != nil {
+		_ = conn.Close()
+
+		return nil, err
+	}
+
+	if accepted.Cancel != nil {
+		return accepted, nil
+	}
+
+	if err := accepted.Conn.net.SetDeadline(time.Time{}); err != nil {
+		_ = conn.Close()
+
+		return nil, err
+	}
+
+	return accepted, nil
+}
+
+func accept(conn net.Conn, options Options) (*Accepted, error) {
+	encrypted := false
+
+	for range startupRounds {
+		code, body, err := readStartup(conn)
+		if err != nil {
+			return nil, refuse(conn, err)
+		}
+
+		switch code {
+		case codeSSL:
+			if options.TLS == nil || encrypted {
+				_, err = conn.Write([]byte{'N'})
+			} else if _, err = conn.Write([]byte{'S'}); err == nil {
+				// The handshake reads from the connection itself, and no byte was read past the request, so
+				// nothing that was sent before encryption is taken for encrypted.
+				secured := tls.Server(conn, options.TLS)
+				err = secured.Handshake()
+				conn, encrypted = secured, true
+			}
+		case codeGSS:
+			_, err = conn.Write([]byte{'N'})
+		case codeCancel:
+			return readCancel(body)
+		default:
+			return login(conn, code, body, options)
+		}
+
+		if err != nil {
+			return nil, err
+		}
+	}
+
+	return nil, refuse(conn, result.New(result.Protocol, "too many requests for encryption"))
+}
+
+// readStartup reads a packet without a kind. It reads exactly the packet's bytes.
+func readStartup(conn io.Reader) (uint32, []byte, error) {
+	var head [startupHead]byte
+
+	if n, err := io.ReadFull(conn, head[:]); err != nil {
+		if n == 0 {
+			return 0, nil, err
+		}
+
+		return 0, nil, result.New(result.Protocol, "startup packet ends after %d bytes: %w", n, err)
+	}
+
+	size := binary.BigEndian.Uint32(head[:])
+	if size < startupHead || size > startupBytes {
+		return 0, nil, result.New(result.Protocol,
+			"startup packet has a length of %d bytes; %d to %d are allowed", size, startupHead, startupBytes)
+	}
+
+	body := make([]byte, size-startupHead)
+	if _, err := io.ReadFull(conn, body); err != nil {
+		return 0, nil, result.New(result.Protocol, "startup packet is truncated: %w", err)
+	}
+
+	return binary.BigEndian.Uint32(head[4:]), body, nil
+}
+
+func readCancel(body []byte) (*Accepted, error) {
+	const processBytes, secretBytes = 4, 256
+
+	if len(body) <= processBytes || len(body) > processBytes+secretBytes {
+		return nil, result.New(result.Protocol, "cancel request has a length of %d bytes", len(body))
+	}
+
+	return &Accepted{Cancel: &CancelRequest{
+		Process: binary.BigEndian.Uint32(body),
+		Secret:  slices.Clone(body[processBytes:]),
+	}}, nil
+}
+
+func login(conn net.Conn, version uint32, body []byte, options Options) (*Accepted, error) {
+	if version>>majorShift != majorWanted {
+		return nil, refuse(conn, result.New(result.Protocol,
+			"protocol version %d.%d is not supported; want 3.0 to 3.%d", version>>majorShift, version&minorMask, newestMinor))
+	}
+
+	parameters, err := parseParameters(body)
+	if err != nil {
+		return nil, refuse(conn, err)
+	}
+
+	caller := NewConn(conn, startupBytes, options.Stall)
+	minor := min(version&minorMask, newestMinor)
+
+	var unknown []string
+
+	for name := range parameters {
+		if strings.HasPrefix(name, optionPrefix) {
+			unknown = append(unknown, name)
+			delete(parameters, name)
+		}
+	}
+
+	if version&minorMask > newestMinor || len(unknown) > 0 {
+		slices.Sort(unknown)
+		_ = caller.Send(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: minor, UnrecognizedOptions: unknown})
+	}
+
+	if err := expand(parameters); err != nil {
+		return nil, fatal(caller, err)
+	}
+
+	if parameters["user"] == "" {
+		return nil, fatal(caller, result.New(result.Authentication, "the startup packet names no user"))
+	}
+
+	if err := options.Admit(maps.Clone(parameters)); err != nil {
+		return nil, fatal(caller, err)
+	}
+
+	if err := authenticate(caller, parameters["user"], options.Verifier); err != nil {
+		return nil, fatal(caller, err)
+	}
+
+	caller.SetLimit(options.MessageLimit)
+
+	return &Accepted{Conn: caller, Parameters: parameters, LongSecret: minor >= minorLongSecret}, nil
+}
+
+// parseParameters reads the names and values of a startup packet.
+func parseParameters(body []byte) (map[string]string, error) {
+	parameters := make(map[string]string)
+	rest := string(body)
+
+	for {
+		name, after, found := strings.Cut(rest, "\x00")
+		if !found {
+			return nil, result.New(result.Protocol, "startup packet has no end marker")
+		}
+
+		if name == "" {
+			if after != "" {
+				return nil, result.New(result.Protocol, "startup packet has %d bytes behind its end marker", len(after))
+			}
+
+			return parameters, nil
+		}
+
+		value, after, found := strings.Cut(after, "\x00")
+		if !found {
+			return nil, result.New(result.Protocol, "startup parameter %.40q has no value", name)
+		}
+
+		parameters[name] = value
+		rest = after
+	}
+}
+
+// expand replaces the parameter options, which holds settings in the form of a command line, by these settings.
+func expand(parameters map[string]string) error {
+	options := parameters["options"]
+	delete(parameters, "options")
+
+	fields := splitOptions(options)
+
+	for at := 0; at < len(fields); at++ {
+		field := fields[at]
+
+		switch {
+		case field == "-c" && at+1 < len(fields):
+			at++
+			field = fields[at]
+		case strings.HasPrefix(field, "-c"):
+			field = field[2:]
+		case strings.HasPrefix(field, "--"):
+			field = strings.ReplaceAll(field[2:], "-", "_")
+		default:
+			return result.New(result.NotSupported, "startup option %.40q is not of the form -c NAME=VALUE", field)
+		}
+
+		name, value, found := strings.Cut(field, "=")
+		if !found {
+			return result.New(result.Protocol, "startup option %.40q has no value", field)
+		}
+
+		parameters[name] = value
+	}
+
+	return nil
+}
+
+// splitOptions splits at spaces that no backslash precedes.
+func splitOptions(options string) []string {
+	var (
+		fields []string
+		field  strings.Builder
+		open   bool
+	)
+
+	for at := 0; at < len(options); at++ {
+		char := options[at]
+
+		switch {
+		case char == '\\' && at+1 < len(options):
+			at++
+			field.WriteByte(options[at])
+
+			open = true
+		case char == ' ' || char == '\t' || char == '\n':
+			if open {
+				fields = append(fields, field.String())
+				field.Reset()
+
+				open = false
+			}
+		default:
+			field.WriteByte(char)
+
+			open = true
+		}
+	}
+
+	if open {
+		fields = append(fields, field.String())
+	}
+
+	return fields
+}
+
+// refuse sends an error before there is a Conn.
+func refuse(conn net.Conn, err error) error {
+	if errors.Is(err, io.EOF) && result.CodeOf(err) == result.OK {
+		return err
+	}
+
+	response := Response(err)
+	response.Severity, response.SeverityUnlocalized = severityFatal, severityFatal
+
+	if encoded, failure := response.Encode(nil); failure == nil {
+		_, _ = conn.Write(encoded)
+	}
+
+	return err
+}
+
+func fatal(caller *Conn, err error) error {
+	caller.Fatal(err)
+
+	return err
+}
+
+// ProtocolError returns the error for a message that could not be read, or the error itself if the connection was
+// lost.
+func ProtocolError(err error) error {
+	var size *wire.SizeError
+
+	switch {
+	case errors.As(err, &size):
+		return result.New(result.TooLarge, "%w", err)
+	case errors.Is(err, wire.ErrLength):
+		return result.New(result.Protocol, "%w", err)
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return result.New(result.Protocol, "the connection ended within a message")
+	}
+
+	return fmt.Errorf("caller connection: %w", err)
+}
--- /dev/null
+++ b/io/caller/conn.go
@@ -0,0 +1,170 @@
+package caller
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"almondgrade/core/result"
+	"almondgrade/io/wire"
+)
+
+// ErrInterrupted is returned by Conn.Await after Conn.Interrupt.
+var ErrInterrupted = errors.New("the wait for the next message was interrupted")
+
+// ErrIdle is returned by Conn.Await when its deadline has passed.
+var ErrIdle = errors.New("no message arrived in time")
+
+// Conn is a caller's connection after startup. Its methods are for one goroutine at a time each for reading and for
+// writing; Interrupt and Close may be called from anywhere.
+type Conn struct {
+	*wire.Reader
+	*wire.Writer
+
+	net net.Conn
+
+	mu          sync.Mutex
+	waiting     bool
+	interrupted bool
+}
+
+// deadlineWriter bounds the time that one write may make no progress.
+type deadlineWriter struct {
+	conn  net.Conn
+	limit time.Duration
+}
+
+// writeStep is the size of the pieces in which an answer is written, each with its own deadline, so that a slow
+// reader is told from one that has stopped reading.
+const writeStep = 32 << 10
+
+// Write implements io.Writer.
+func (w *deadlineWriter) Write(data []byte) (int, error) {
+	written := 0
+
+	for written < len(data) {
+		if err := w.conn.SetWriteDeadline(time.Now().Add(w.limit)); err != nil {
+			return written, err
+		}
+
+		n, err := w.conn.Write(data[written:min(len(data), written+writeStep)])
+		written += n
+
+		if err != nil {
+			return written, err
+		}
+	}
+
+	return written, nil
+}
+
+// NewConn returns a connection that refuses messages longer than limit bytes and gives up on a caller that reads
+// nothing for the time stall.
+func NewConn(conn net.Conn, limit int, stall time.Duration) *Conn {
+	return &Conn{
+		Reader: wire.NewReader(conn, limit),
+		Writer: wire.NewWriter(&deadlineWriter{conn: conn, limit: stall}),
+		net:    conn,
+	}
+}
+
+// RemoteAddr returns the caller's address.
+func (c *Conn) RemoteAddr() net.Addr {
+	return c.net.RemoteAddr()
+}
+
+// Close ends the connection.
+func (c *Conn) Close() {
+	_ = c.net.Close()
+}
+
+// Await returns when the header of the next message has arrived. It consumes nothing. A zero deadline waits without
+// limit.
+func (c *Conn) Await(deadline time.Time) error {
+	c.mu.Lock()
+	if c.interrupted {
+		c.mu.Unlock()
+
+		return ErrInterrupted
+	}
+
+	c.waiting = true
+	err := c.net.SetReadDeadline(deadline)
+	c.mu.Unlock()
+
+	if err == nil {
+		err = c.Wait()
+	}
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.waiting = false
+	_ = c.net.SetReadDeadline(time.Time{})
+
+	switch {
+	case c.interrupted:
+		return ErrInterrupted
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return ErrIdle
+	}
+
+	return err
+}
+
+// Interrupt makes the present call of Await, or else the next one, return ErrInterrupted, until Resume.
+func (c *Conn) Interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.interrupted = true
+
+	if c.waiting {
+		_ = c.net.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// Resume ends the effect of Interrupt.
+func (c *Conn) Resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.interrupted = false
+}
+
+// Severities of errors.
+const (
+	severityError = "ERROR"
+	severityFatal = "FATAL"
+)
+
+// Response returns an error as the message that a caller receives. An error without a code keeps its text.
+func Response(err error) *pgproto3.ErrorResponse {
+	response := &pgproto3.ErrorResponse{
+		Severity: severityError, SeverityUnlocalized: severityError, Code: "XX000", Message: err.Error(),
+	}
+
+	var failure *result.Error
+	if errors.As(err, &failure) {
+		description := failure.Code.Describe()
+		response.Code = description.State
+		response.Message = failure.Error()
+		response.Detail = "request ran: " + description.Ran.String()
+	}
+
+	return response
+}
+
+// Fatal sends an error after which the connection is closed.
+func (c *Conn) Fatal(err error) {
+	response := Response(err)
+	response.Severity, response.SeverityUnlocalized = severityFatal, severityFatal
+
+	c.Drop()
+	_ = c.Send(response)
+	_ = c.Flush()
+}
--- /dev/null
+++ b/io/caller/scram.go
@@ -0,0 +1,186 @@
+package caller
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+
+	"almondgrade/core/result"
+)
+
+const (
+	mechanism = "SCRAM-SHA-256"
+	// verifierFields are the fields of a verifier: mechanism, iterations with salt, keys.
+	verifierFields = 3
+	// mockIterations is PostgreSQL's default number of iterations.
+	mockIterations = 4096
+	mockSaltBytes  = 16
+)
+
+//nolint:gochecknoglobals // Drawn once for each process, so that an unknown user always shows the same salt.
+var mockSecret = func() []byte {
+	secret := make([]byte, sha256.Size)
+	_, _ = rand.Read(secret)
+
+	return secret
+}()
+
+// errVerifier is returned for a verifier that is not in PostgreSQL's text form.
+var errVerifier = errors.New("verifier is not of the form SCRAM-SHA-256$ITERATIONS:SALT$STOREDKEY:SERVERKEY")
+
+// parseVerifier reads a verifier as pg_authid stores it.
+func parseVerifier(text string) (scram.StoredCredentials, error) {
+	fields := strings.Split(text, "$")
+	if len(fields) != verifierFields || fields[0] != mechanism {
+		return scram.StoredCredentials{}, errVerifier
+	}
+
+	iterations, salt, found := strings.Cut(fields[1], ":")
+	stored, server, foundKeys := strings.Cut(fields[2], ":")
+
+	if !found || !foundKeys {
+		return scram.StoredCredentials{}, errVerifier
+	}
+
+	count, err := strconv.Atoi(iterations)
+	if err != nil || count <= 0 {
+		return scram.StoredCredentials{}, errVerifier
+	}
+
+	var decoded [3][]byte
+
+	for i, field := range []string{salt, stored, server} {
+		if decoded[i], err = base64.StdEncoding.DecodeString(field); err != nil || len(decoded[i]) == 0 {
+			return scram.StoredCredentials{}, errVerifier
+		}
+	}
+
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(decoded[0]), Iters: count},
+		StoredKey:  decoded[1],
+		ServerKey:  decoded[2],
+	}, nil
+}
+
+// mockCredentials lets the login of an unknown user take the same steps as that of a known one.
+func mockCredentials(user string) scram.StoredCredentials {
+	digest := hmac.New(sha256.New, mockSecret)
+	_, _ = digest.Write([]byte(user))
+	salt := digest.Sum(nil)[:mockSaltBytes]
+
+	key := make([]byte, sha256.Size)
+	_, _ = rand.Read(key)
+
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(salt), Iters: mockIterations}, StoredKey: key, ServerKey: key,
+	}
+}
+
+func authenticate(conn *Conn, user string, lookup func(string) (string, bool)) error {
+	verifier, known := lookup(user)
+	if known && verifier == "" {
+		return conn.Send(&pgproto3.AuthenticationOk{})
+	}
+
+	credentials := mockCredentials(user)
+
+	if known {
+		var err error
+		if credentials, err = parseVerifier(verifier); err != nil {
+			return result.New(result.Authentication, "user %q: %w", user, err)
+		}
+	}
+
+	if err := exchange(conn, credentials); err != nil {
+		if result.CodeOf(err) == result.Protocol {
+			return err
+		}
+
+		return result.New(result.Authentication, "user %q is unknown or the password is wrong", user)
+	}
+
+	return conn.Send(&pgproto3.AuthenticationOk{})
+}
+
+// exchange runs the SASL messages of one login.
+func exchange(conn *Conn, credentials scram.StoredCredentials) error {
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
+		return credentials, nil
+	})
+	if err != nil {
+		return err
+	}
+
+	if err := conn.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}}); err != nil {
+		return err
+	}
+
+	body, err := password(conn)
+	if err != nil {
+		return err
+	}
+
+	var initial pgproto3.SASLInitialResponse
+	if err := initial.Decode(body); err != nil {
+		return result.New(result.Protocol, "SASL initial response: %w", err)
+	}
+
+	if initial.AuthMechanism != mechanism {
+		return result.New(result.Protocol, "SASL mechanism %.40q is not %s", initial.AuthMechanism, mechanism)
+	}
+
+	conversation := server.NewConversation()
+
+	answer, err := conversation.Step(string(initial.Data))
+	if err != nil {
+		return err
+	}
+
+	if err := conn.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(answer)}); err != nil {
+		return err
+	}
+
+	if body, err = password(conn); err != nil {
+		return err
+	}
+
+	if answer, err = conversation.Step(string(body)); err != nil {
+		return err
+	}
+
+	if !conversation.Valid() {
+		return errors.New("the conversation has not ended")
+	}
+
+	return conn.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(answer)})
+}
+
+// password flushes the request for a message of kind 'p' and returns its body.
+func password(conn *Conn) ([]byte, error) {
+	if err := conn.Flush(); err != nil {
+		return nil, err
+	}
+
+	kind, _, err := conn.Next()
+	if err != nil {
+		return nil, ProtocolError(err)
+	}
+
+	if kind != 'p' {
+		return nil, result.New(result.Protocol, "message %q arrived where a password was expected", kind)
+	}
+
+	body, err := conn.Body()
+	if err != nil {
+		return nil, ProtocolError(err)
+	}
+
+	return body, nil
+}
--- /dev/null
+++ b/io/wire/reader.go
@@ -0,0 +1,189 @@
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+)
+
+const (
+	// headerBytes is the size of a message's kind and length.
+	headerBytes = 5
+	// lengthBytes is the size of the length field, which counts itself.
+	lengthBytes = 4
+	// readBufferBytes is the size of the read buffer of one connection. PostgreSQL sends in pieces of 8 KiB.
+	readBufferBytes = 8 << 10
+	// keepBytes is the largest buffer for bodies that a reader keeps between messages.
+	keepBytes = 64 << 10
+	// growBytes bounds how much memory is reserved for a body before its bytes have arrived, so that a false
+	// length costs the sender as much as the receiver.
+	growBytes = 1 << 20
+)
+
+// ErrLength is returned for a length field that no message can have.
+var ErrLength = errors.New("invalid message length")
+
+// SizeError is returned for a message that is longer than allowed.
+type SizeError struct {
+	Kind  byte
+	Size  int
+	Limit int
+}
+
+// Error implements error.
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("message %q of %d bytes is longer than the limit of %d bytes", e.Kind, e.Size, e.Limit)
+}
+
+// Reader reads messages. It is not safe for concurrent use.
+type Reader struct {
+	src     *bufio.Reader
+	limit   int
+	kind    byte
+	pending int
+	body    []byte
+}
+
+// NewReader returns a reader that refuses bodies longer than limit bytes; zero means no limit.
+func NewReader(src io.Reader, limit int) *Reader {
+	return &Reader{src: bufio.NewReaderSize(src, readBufferBytes), limit: limit}
+}
+
+// SetLimit changes the greatest length of a body.
+func (r *Reader) SetLimit(limit int) {
+	r.limit = limit
+}
+
+// Buffered returns the number of bytes that were received and not yet read.
+func (r *Reader) Buffered() int {
+	return r.src.Buffered()
+}
+
+// Wait returns when the header of the next message has arrived. It consumes nothing and may be called again after
+// an error of the connection's deadline.
+func (r *Reader) Wait() error {
+	_, err := r.src.Peek(headerBytes)
+	if errors.Is(err, io.EOF) && r.src.Buffered() > 0 {
+		return io.ErrUnexpectedEOF
+	}
+
+	return err
+}
+
+// Peek returns the kind of the next message without consuming it.
+func (r *Reader) Peek() (byte, error) {
+	head, err := r.src.Peek(1)
+	if err != nil {
+		return 0, err
+	}
+
+	return head[0], nil
+}
+
+// Next reads the header of the next message and returns the message's kind and the size of its body. The body of
+// the message before must have been read, forwarded or skipped.
+func (r *Reader) Next() (byte, int, error) {
+	if err := r.Wait(); err != nil {
+		return 0, 0, err
+	}
+
+	head, err := r.src.Peek(headerBytes)
+	if err != nil {
+		return 0, 0, err
+	}
+
+	kind := head[0]
+	length := int(int32(binary.BigEndian.Uint32(head[1:])))
+
+	if length < lengthBytes {
+		return kind, 0, fmt.Errorf("%w: %d in message %q", ErrLength, length, kind)
+	}
+
+	size := length - lengthBytes
+	if r.limit > 0 && size > r.limit {
+		return kind, size, &SizeError{Kind: kind, Size: size, Limit: r.limit}
+	}
+
+	_, _ = r.src.Discard(headerBytes)
+	r.kind, r.pending = kind, size
+
+	return kind, size, nil
+}
+
+// Body reads the body of the message whose header was read last. The result is valid until the next call.
+func (r *Reader) Body() ([]byte, error) {
+	size := r.pending
+	r.pending = 0
+
+	if cap(r.body) > keepBytes {
+		r.body = nil
+	}
+
+	if size <= cap(r.body) {
+		r.body = r.body[:size]
+		_, err := io.ReadFull(r.src, r.body)
+
+		return r.body, unexpected(err)
+	}
+
+	r.body = r.body[:0]
+
+	for len(r.body) < size {
+		step := min(size-len(r.body), growBytes)
+		start := len(r.body)
+		r.body = append(r.body, make([]byte, step)...)
+
+		if _, err := io.ReadFull(r.src, r.body[start:]); err != nil {
+			return nil, unexpected(err)
+		}
+	}
+
+	return r.body, nil
+}
+
+// Forward copies the message whose header was read last to a writer, in pieces no larger than the read buffer, and
+// flushes the writer whenever its buffer is full.
+func (r *Reader) Forward(to *Writer) error {
+	size := r.pending
+	r.pending = 0
+
+	to.header(r.kind, size)
+
+	for size > 0 {
+		piece, err := r.src.Peek(min(size, max(r.src.Buffered(), 1)))
+		if err != nil {
+			return unexpected(err)
+		}
+
+		to.buffer = append(to.buffer, piece...)
+		size -= len(piece)
+		_, _ = r.src.Discard(len(piece))
+
+		if to.Full() {
+			if err := to.Flush(); err != nil {
+				return &WriteError{cause: err}
+			}
+		}
+	}
+
+	return nil
+}
+
+// Skip reads the body of the message whose header was read last and drops it.
+func (r *Reader) Skip() error {
+	size := r.pending
+	r.pending = 0
+	_, err := r.src.Discard(size)
+
+	return unexpected(err)
+}
+
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+
+	return err
+}
