--- a/core/registry/view.go
+++ b/core/registry/view.go
@@ -80,6 +80,17 @@
 	Recovery bool
 }
 
+// Same reports whether an announcement of the server says nothing new. The mark of a drain that an operator ordered
+// stays until the server starts anew.
+func (s Server) Same(announced Server) bool {
+	announced.Sequence = s.Sequence
+	if s.Incarnation == announced.Incarnation {
+		announced.Leaving = announced.Leaving || s.Leaving
+	}
+
+	return s == announced
+}
+
 // Proxy is a proxy process that joined.
 type Proxy struct {
 	Name string
--- a/internal/controller/announce.go
+++ b/internal/controller/announce.go
@@ -32,7 +32,7 @@
 		return c.announced(server, err), nil
 	}
 
-	if known, found := c.view().Servers[server.Name]; found && sameServer(known, server) {
+	if known, found := c.view().Servers[server.Name]; found && known.Same(server) {
 		return c.announced(server, nil), nil
 	}
 
@@ -49,38 +49,14 @@
 
 // announced builds the reply, which tells the platform what the server should be.
 func (c *Controller) announced(server registry.Server, err error) *controlpb.AnnounceReply {
-	reply := &controlpb.AnnounceReply{}
-
 	if err != nil {
 		code := result.CodeOf(err)
 		c.count(code.Describe().Name)
-		reply.Code, reply.Reason = uint32(code), err.Error()
-
-		return reply
-	}
-
-	view := c.view()
-	if group, found := view.Groups[server.Group]; found {
-		reply.Term = uint64(group.Term)
-		reply.Primary = group.Primary
-		reply.History = control.HistoryMessage(group.History)
-
-		if primary, found := view.Servers[group.Primary]; found {
-			reply.PrimaryAddress = primary.Address.String()
-		}
-	}
-
-	return reply
-}
 
-// sameServer reports whether an announcement changes nothing. A drain ordered by an operator is kept.
-func sameServer(known, announced registry.Server) bool {
-	announced.Sequence = known.Sequence
-	if known.Incarnation == announced.Incarnation {
-		announced.Leaving = announced.Leaving || known.Leaving
+		return &controlpb.AnnounceReply{Code: uint32(code), Reason: err.Error()}
 	}
 
-	return known == announced
+	return control.AnnounceReply(c.view(), server)
 }
 
 // newer remembers the latest announcement of each server and reports whether this one is not older.
--- a/internal/daemon/dial.go
+++ b/internal/daemon/dial.go
@@ -11,6 +11,8 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+
+	"almondgrade/internal/security"
 )
 
 const (
@@ -27,17 +29,17 @@
 	messageLimit = 64 << 20
 )
 
-// dialer returns the function with which a process connects to others. Without a TLS configuration connections are
-// not encrypted.
-func dialer(config *tls.Config) func(netip.AddrPort) (*grpc.ClientConn, error) {
-	security := insecure.NewCredentials()
-	if config != nil {
-		security = credentials.NewTLS(config)
-	}
-
+// dialer returns the function with which a process connects to others. Without an authority connections are not
+// encrypted.
+func dialer(keys *security.Keys) func(netip.AddrPort) (*grpc.ClientConn, error) {
 	return func(address netip.AddrPort) (*grpc.ClientConn, error) {
+		transport := insecure.NewCredentials()
+		if config := keys.Client(address.Addr().String()); config != nil {
+			transport = credentials.NewTLS(config)
+		}
+
 		connection, err := grpc.NewClient("passthrough:///"+address.String(),
-			grpc.WithTransportCredentials(security),
+			grpc.WithTransportCredentials(transport),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{
 				Time: keepalivePeriod, Timeout: keepaliveTimeout, PermitWithoutStream: true,
 			}),
--- /dev/null
+++ b/io/control/caller.go
@@ -0,0 +1,185 @@
+package control
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"almondgrade/core/result"
+	"almondgrade/io/control/controlpb"
+)
+
+const (
+	// retryPause is the pause after all control members have been tried.
+	retryPause = 100 * time.Millisecond
+	// callTimeout bounds one call to one control member.
+	callTimeout = 2 * time.Second
+)
+
+// Caller sends requests to whichever control process leads. It is safe for concurrent use.
+type Caller struct {
+	initial []netip.AddrPort
+	dial    func(netip.AddrPort) (*grpc.ClientConn, error)
+	leader  atomic.Pointer[netip.AddrPort]
+
+	mutex       sync.Mutex
+	connections map[netip.AddrPort]*grpc.ClientConn
+}
+
+// NewCaller returns a caller that tries the given members first and learns the leader from their answers.
+func NewCaller(members []netip.AddrPort, dial func(netip.AddrPort) (*grpc.ClientConn, error)) *Caller {
+	return &Caller{initial: members, dial: dial, connections: make(map[netip.AddrPort]*grpc.ClientConn)}
+}
+
+// Close ends all connections.
+func (c *Caller) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	for _, connection := range c.connections {
+		_ = connection.Close()
+	}
+}
+
+// Announce passes on the announcement of a backend server.
+func (c *Caller) Announce(ctx context.Context, announcement *controlpb.Announcement) (*controlpb.AnnounceReply, error) {
+	return call(ctx, c, announcement, controlpb.ControlClient.Announce)
+}
+
+// Suspect reports that a backend server can't be reached.
+func (c *Caller) Suspect(ctx context.Context, suspicion *controlpb.Suspicion) (*controlpb.SuspectReply, error) {
+	return call(ctx, c, suspicion, controlpb.ControlClient.Suspect)
+}
+
+// Apply asks control to change the configuration.
+func (c *Caller) Apply(ctx context.Context, change *controlpb.Change) (*controlpb.ChangeReply, error) {
+	return call(ctx, c, change, controlpb.ControlClient.Apply)
+}
+
+// Status asks control for the replicated state.
+func (c *Caller) Status(ctx context.Context) (*controlpb.StatusReply, error) {
+	return call(ctx, c, &controlpb.StatusRequest{}, controlpb.ControlClient.Status)
+}
+
+// Drained asks control to mark a server or proxy as leaving.
+func (c *Caller) Drain(ctx context.Context, request *controlpb.DrainRequest) (*controlpb.DrainReply, error) {
+	return call(ctx, c, request, controlpb.ControlClient.Drain)
+}
+
+// call tries the leader, then the other members, until one takes the request. A member that is not the leader has
+// not acted on it. Every request of this service is idempotent, so that it may also be sent again after a loss.
+func call[Q, A any](ctx context.Context, c *Caller, request Q,
+	method func(controlpb.ControlClient, context.Context, Q, ...grpc.CallOption) (A, error),
+) (A, error) {
+	var (
+		none A
+		last error
+	)
+
+	for {
+		for _, member := range c.members() {
+			connection, err := c.connection(member)
+			if err != nil {
+				last = err
+
+				continue
+			}
+
+			attempt, cancel := context.WithTimeout(ctx, callTimeout)
+			answer, err := method(controlpb.NewControlClient(connection), attempt, request)
+
+			cancel()
+
+			if err == nil {
+				c.leader.Store(&member)
+
+				return answer, nil
+			}
+
+			last = err
+			c.learn(err)
+		}
+
+		if err := pause(ctx, retryPause); err != nil {
+			return none, result.New(result.NoQuorum, "no control process took the request (%v): %w", err, last)
+		}
+	}
+}
+
+// members returns the addresses to try, the last known leader first.
+func (c *Caller) members() []netip.AddrPort {
+	leader := c.leader.Load()
+	if leader == nil {
+		return c.initial
+	}
+
+	members := []netip.AddrPort{*leader}
+
+	for _, member := range c.initial {
+		if member != *leader {
+			members = append(members, member)
+		}
+	}
+
+	return members
+}
+
+// learn takes the leader's address from the refusal of another member.
+func (c *Caller) learn(err error) {
+	if status.Code(err) != codes.FailedPrecondition {
+		return
+	}
+
+	if address, err := netip.ParseAddrPort(status.Convert(err).Message()); err == nil {
+		c.leader.Store(&address)
+	}
+}
+
+func (c *Caller) connection(member netip.AddrPort) (*grpc.ClientConn, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	if connection, found := c.connections[member]; found {
+		return connection, nil
+	}
+
+	connection, err := c.dial(member)
+	if err != nil {
+		return nil, eris.Wrapf(err, "control member %s", member)
+	}
+
+	c.connections[member] = connection
+
+	return connection, nil
+}
+
+// discard closes a connection that may have gone silent, so that the next call opens a new one.
+func (c *Caller) discard(member netip.AddrPort) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	if connection, found := c.connections[member]; found {
+		_ = connection.Close()
+
+		delete(c.connections, member)
+	}
+}
+
+func pause(ctx context.Context, period time.Duration) error {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-timer.C:
+		return nil
+	}
+}
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -8,14 +8,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
 	"almondgrade/core/registry"
 	"almondgrade/core/timer"
-	"almondgrade/io/control/controlpb"
 )
 
 const (
@@ -26,10 +22,6 @@
 	answerTimeout = 1500 * time.Millisecond
 	// connectTimeout bounds the opening of a stream to one control member.
 	connectTimeout = time.Second
-	// retryPause is the pause after all control members have been tried.
-	retryPause = 100 * time.Millisecond
-	// callTimeout bounds one unary call to one control member.
-	callTimeout = 2 * time.Second
 )
 
 // Options configure a Client.
@@ -45,6 +37,8 @@
 
 // Client is a proxy's connection to control. It is safe for concurrent use.
 type Client struct {
+	*Caller
+
 	options  Options
 	picture  atomic.Pointer[Picture]
 	number   atomic.Uint32
@@ -52,11 +46,9 @@
 	// until is the end of the lease, as time since start.
 	until  atomic.Int64
 	start  time.Time
-	leader atomic.Pointer[netip.AddrPort]
 
-	mutex       sync.Mutex
-	changed     chan struct{}
-	connections map[netip.AddrPort]*grpc.ClientConn
+	mutex   sync.Mutex
+	changed chan struct{}
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -66,8 +58,8 @@
 func New(options Options) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	client := &Client{
-		options: options, start: options.Timer.Now(), changed: make(chan struct{}),
-		connections: make(map[netip.AddrPort]*grpc.ClientConn), cancel: cancel,
+		Caller: NewCaller(options.Members, options.Dial), options: options, start: options.Timer.Now(),
+		changed: make(chan struct{}), cancel: cancel,
 	}
 	client.done.Go(func() { client.watch(ctx) })
 
@@ -78,13 +70,7 @@
 func (c *Client) Close() {
 	c.cancel()
 	c.done.Wait()
-
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-
-	for _, connection := range c.connections {
-		_ = connection.Close()
-	}
+	c.Caller.Close()
 }
 
 // View returns the latest view, or nil before the first one.
@@ -125,143 +111,7 @@
 	return c.changed
 }
 
-// Drain tells control from now on that the proxy is shutting down, so that it coordinates no group.
-func (c *Client) Drain() {
+// Leave tells control from now on that the proxy is shutting down, so that it coordinates no group.
+func (c *Client) Leave() {
 	c.draining.Store(true)
 }
-
-// Announce passes on the announcement of a backend server.
-func (c *Client) Announce(ctx context.Context, announcement *controlpb.Announcement) (*controlpb.AnnounceReply, error) {
-	return call(ctx, c, announcement, controlpb.ControlClient.Announce)
-}
-
-// Suspect reports that a backend server can't be reached.
-func (c *Client) Suspect(ctx context.Context, suspicion *controlpb.Suspicion) (*controlpb.SuspectReply, error) {
-	return call(ctx, c, suspicion, controlpb.ControlClient.Suspect)
-}
-
-// Apply asks control to change the configuration.
-func (c *Client) Apply(ctx context.Context, change *controlpb.Change) (*controlpb.ChangeReply, error) {
-	return call(ctx, c, change, controlpb.ControlClient.Apply)
-}
-
-// Status asks control for the replicated state.
-func (c *Client) Status(ctx context.Context) (*controlpb.StatusReply, error) {
-	return call(ctx, c, &controlpb.StatusRequest{}, controlpb.ControlClient.Status)
-}
-
-// Drained asks control to mark a server or proxy as leaving.
-func (c *Client) Drained(ctx context.Context, request *controlpb.DrainRequest) (*controlpb.DrainReply, error) {
-	return call(ctx, c, request, controlpb.ControlClient.Drain)
-}
-
-// call tries the leader, then the other members, until one takes the request. A member that is not the leader has
-// not acted on it. Every request of this service is idempotent, so that it may also be sent again after a loss.
-func call[Q, A any](ctx context.Context, c *Client, request Q,
-	method func(controlpb.ControlClient, context.Context, Q, ...grpc.CallOption) (A, error),
-) (A, error) {
-	var (
-		none A
-		last error
-	)
-
-	for {
-		for _, member := range c.members() {
-			connection, err := c.connection(member)
-			if err != nil {
-				last = err
-
-				continue
-			}
-
-			attempt, cancel := context.WithTimeout(ctx, callTimeout)
-			answer, err := method(controlpb.NewControlClient(connection), attempt, request)
-
-			cancel()
-
-			if err == nil {
-				c.leader.Store(&member)
-
-				return answer, nil
-			}
-
-			last = err
-			c.learn(err)
-		}
-
-		if err := pause(ctx, retryPause); err != nil {
-			return none, eris.Wrapf(last, "no control member answered: %v", err)
-		}
-	}
-}
-
-// members returns the addresses to try, the last known leader first.
-func (c *Client) members() []netip.AddrPort {
-	leader := c.leader.Load()
-	if leader == nil {
-		return c.options.Members
-	}
-
-	members := []netip.AddrPort{*leader}
-
-	for _, member := range c.options.Members {
-		if member != *leader {
-			members = append(members, member)
-		}
-	}
-
-	return members
-}
-
-// learn takes the leader's address from the refusal of another member.
-func (c *Client) learn(err error) {
-	if status.Code(err) != codes.FailedPrecondition {
-		return
-	}
-
-	if address, err := netip.ParseAddrPort(status.Convert(err).Message()); err == nil {
-		c.leader.Store(&address)
-	}
-}
-
-func (c *Client) connection(member netip.AddrPort) (*grpc.ClientConn, error) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-
-	if connection, found := c.connections[member]; found {
-		return connection, nil
-	}
-
-	connection, err := c.options.Dial(member)
-	if err != nil {
-		return nil, eris.Wrapf(err, "control member %s", member)
-	}
-
-	c.connections[member] = connection
-
-	return connection, nil
-}
-
-// discard closes a connection that may have gone silent, so that the next call opens a new one.
-func (c *Client) discard(member netip.AddrPort) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-
-	if connection, found := c.connections[member]; found {
-		_ = connection.Close()
-
-		delete(c.connections, member)
-	}
-}
-
-func pause(ctx context.Context, period time.Duration) error {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-
-	select {
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	case <-timer.C:
-		return nil
-	}
-}
--- a/io/control/convert.go
+++ b/io/control/convert.go
@@ -94,3 +94,20 @@
 		Centre: message.GetCentre(), Draining: message.GetDraining(),
 	}, nil
 }
+
+// AnnounceReply tells a backend server's platform what a view says about the server's group.
+func AnnounceReply(view *registry.View, server registry.Server) *controlpb.AnnounceReply {
+	group, found := view.Groups[server.Group]
+	if !found {
+		return &controlpb.AnnounceReply{}
+	}
+
+	reply := &controlpb.AnnounceReply{
+		Term: uint64(group.Term), Primary: group.Primary, History: HistoryMessage(group.History),
+	}
+	if primary, found := view.Servers[group.Primary]; found {
+		reply.PrimaryAddress = primary.Address.String()
+	}
+
+	return reply
+}
