--- a/cmd/almondgrade/control.go
+++ b/cmd/almondgrade/control.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net/netip"
 
 	"github.com/jessevdk/go-flags"
 
 	"almondgrade/core/settings"
+	"almondgrade/internal/daemon"
 )
 
 // controlCommand runs a control process.
@@ -30,7 +30,6 @@
 	return c.run("control", func(vm settings.VM) (string, netip.AddrPort) { return "vm.control", vm.Control }, runControl)
 }
 
-// runControl calls internal/controller.Run.
-func runControl(context.Context, *settings.Loaded, *slog.Logger, *slog.LevelVar) error {
-	return errors.New("this build has no control process")
+func runControl(ctx context.Context, loaded *settings.Loaded, logger *slog.Logger, level *slog.LevelVar) error {
+	return daemon.Control(ctx, daemon.Parts{Settings: loaded.Settings, Logger: logger, Level: level})
 }
--- a/cmd/almondgrade/proxy.go
+++ b/cmd/almondgrade/proxy.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"net/netip"
 
 	"github.com/jessevdk/go-flags"
 
 	"almondgrade/core/settings"
+	"almondgrade/internal/daemon"
 )
 
 // proxyCommand runs a proxy.
@@ -30,7 +30,6 @@
 	return c.run("proxy", func(vm settings.VM) (string, netip.AddrPort) { return "vm.caller", vm.Caller }, runProxy)
 }
 
-// runProxy calls internal/proxy.Run.
-func runProxy(context.Context, *settings.Loaded, *slog.Logger, *slog.LevelVar) error {
-	return errors.New("this build has no proxy")
+func runProxy(ctx context.Context, loaded *settings.Loaded, logger *slog.Logger, level *slog.LevelVar) error {
+	return daemon.Proxy(ctx, daemon.Parts{Settings: loaded.Settings, Logger: logger, Level: level})
 }
--- /dev/null
+++ b/internal/system/harness_test.go
@@ -0,0 +1,535 @@
+package system_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// startLimit bounds the time until a started system serves. It is far above what is needed, so that a busy
+	// machine changes no verdict.
+	startLimit = 60 * time.Second
+	// waitPeriod is the pause between two looks at a condition.
+	waitPeriod = 20 * time.Millisecond
+	database   = "registry"
+)
+
+// programs builds both programs once for all tests.
+//
+//nolint:gochecknoglobals // Building takes seconds.
+var programs = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "almondgrade-system")
+	if err != nil {
+		return "", err
+	}
+
+	build := exec.Command("go", "build", "-o", folder+"/", "almondgrade/cmd/almondgrade", "almondgrade/cmd/almonddev")
+	output, err := build.CombinedOutput()
+
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, output)
+	}
+
+	return folder, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+
+	if folder, err := programs(); err == nil {
+		_ = os.RemoveAll(folder)
+	}
+
+	os.Exit(code)
+}
+
+// deployment is a system of separate processes.
+type deployment struct {
+	t        *testing.T
+	folder   string
+	programs string
+	controls []*process
+	proxies  []*process
+	members  []*process
+}
+
+// process is one started program.
+type process struct {
+	t       *testing.T
+	name    string
+	program string
+	args    []string
+	// address is where callers, or for a member proxies, connect.
+	address string
+	// fault is the address of a member's fault switches, operator that of control or a proxy.
+	fault    string
+	operator string
+	data     string
+	log      *lockedBuffer
+	command  *exec.Cmd
+	ended    chan struct{}
+}
+
+// shape says how many processes a deployment has.
+type shape struct {
+	controls, proxies, members int
+	groups                     []string
+	running                    map[string]any
+	memberArgs                 []string
+}
+
+// deploy starts a system and waits until it serves writes and reads through every proxy.
+func deploy(t *testing.T, s shape) *deployment {
+	t.Helper()
+
+	folder, err := programs()
+	require.NoError(t, err)
+
+	d := &deployment{t: t, folder: t.TempDir(), programs: folder}
+	if len(s.groups) == 0 {
+		s.groups = []string{"students"}
+	}
+
+	d.writeBase(s)
+
+	for i := range s.controls {
+		d.startControl(i)
+	}
+
+	for i := range s.proxies {
+		d.startProxy(i)
+	}
+
+	for _, group := range s.groups {
+		for i := range s.members {
+			d.startMember(group, i, s.memberArgs)
+		}
+	}
+
+	t.Cleanup(d.finish)
+
+	for _, proxy := range d.proxies {
+		for _, group := range s.groups {
+			d.waitServing(proxy, group, s.members)
+		}
+	}
+
+	return d
+}
+
+func (d *deployment) writeBase(s shape) {
+	var members []map[string]any
+
+	for i := range s.controls {
+		control := &process{
+			t: d.t, name: fmt.Sprintf("control%d", i+1), address: freeAddress(d.t), operator: freeAddress(d.t),
+			data: filepath.Join(d.folder, fmt.Sprintf("control%d", i+1)),
+		}
+		d.controls = append(d.controls, control)
+		members = append(members, map[string]any{
+			"name": control.name, "address": control.address, "operator": control.operator,
+		})
+	}
+
+	running := map[string]any{
+		"backend": map[string]any{"user": "almondgrade"},
+		"pools": map[string]any{
+			"registry": map[string]any{
+				"groups": s.groups, "database": "main",
+				"traffic": []any{
+					map[string]any{"name": "urgent", "applications": []string{"urgent*"}, "urgent": true},
+					map[string]any{"name": "browse", "applications": []string{"browse*"}, "max_age": "10s", "session": "connection"},
+					map[string]any{"name": "session", "applications": []string{"session*"}, "session": "connection"},
+				},
+			},
+		},
+		"users": map[string]any{"clerk": map[string]any{}},
+	}
+	for key, value := range s.running {
+		running[key] = value
+	}
+
+	d.write("base.json", map[string]any{
+		"format": 1, "site": "test", "control": members, "log": map[string]any{"format": "text", "level": "debug"},
+		"running": running,
+	})
+}
+
+func (d *deployment) write(name string, value any) string {
+	text, err := json.MarshalIndent(value, "", "  ")
+	require.NoError(d.t, err)
+
+	path := filepath.Join(d.folder, name)
+	require.NoError(d.t, os.WriteFile(path, text, 0o600))
+
+	return path
+}
+
+func centre(i int) string {
+	return []string{"plateau", "almadies", "pikine"}[i%3]
+}
+
+func (d *deployment) startControl(i int) {
+	control := d.controls[i]
+	overlay := d.write(control.name+".json", map[string]any{"vm": map[string]any{
+		"name": control.name, "centre": centre(i), "control": control.address, "operator": control.operator,
+		"data": control.data,
+	}})
+	control.program = filepath.Join(d.programs, "almondgrade")
+	control.args = []string{"control", filepath.Join(d.folder, "base.json"), overlay}
+	control.start()
+}
+
+func (d *deployment) startProxy(i int) *process {
+	proxy := &process{
+		t: d.t, name: fmt.Sprintf("proxy%d", i+1), address: freeAddress(d.t), operator: freeAddress(d.t),
+		fault: freeAddress(d.t),
+	}
+	overlay := d.write(proxy.name+".json", map[string]any{"vm": map[string]any{
+		"name": proxy.name, "centre": centre(i), "caller": proxy.address, "peer": freeAddress(d.t),
+		"platform": proxy.fault, "operator": proxy.operator,
+	}})
+	proxy.program = filepath.Join(d.programs, "almondgrade")
+	proxy.args = []string{"proxy", filepath.Join(d.folder, "base.json"), overlay}
+	proxy.start()
+	d.proxies = append(d.proxies, proxy)
+
+	return proxy
+}
+
+func (d *deployment) startMember(group string, i int, args []string) *process {
+	member := &process{
+		t: d.t, name: fmt.Sprintf("%s%c", group, 'a'+i), address: freeAddress(d.t), fault: freeAddress(d.t),
+	}
+	member.program = filepath.Join(d.programs, "almonddev")
+	member.args = append([]string{
+		"member", "--name", member.name, "--group", group, "--listen", member.address, "--centre", centre(i),
+		"--fault", member.fault,
+	}, args...)
+
+	for _, proxy := range d.proxies {
+		member.args = append(member.args, "--announce", proxy.fault)
+	}
+
+	if i == 0 {
+		member.args = append(member.args, "--primary")
+	}
+
+	member.start()
+	d.members = append(d.members, member)
+
+	return member
+}
+
+// waitServing waits until a proxy serves a write, and until all members count in the quorums.
+func (d *deployment) waitServing(proxy *process, group string, members int) {
+	d.t.Helper()
+	eventually(d.t, fmt.Sprintf("%s serves group %s", proxy.name, group), startLimit, func() error {
+		conn, err := d.tryConnect(proxy, "", group)
+		if err != nil {
+			return err
+		}
+		defer conn.Close(context.Background())
+
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+
+		_, err = conn.Exec(ctx, "CREATE TABLE IF NOT EXISTS ready (proxy text)")
+
+		return err
+	})
+	eventually(d.t, fmt.Sprintf("%d members of group %s", members, group), startLimit, func() error {
+		status, err := d.status()
+		if err != nil {
+			return err
+		}
+
+		for _, g := range status.Groups {
+			if g.Name == group && len(g.Members) == members && len(g.Previous) == 0 {
+				return nil
+			}
+		}
+
+		return fmt.Errorf("status: %+v", status.Groups)
+	})
+}
+
+// groupStatus is the part of the status that the tests read.
+type groupStatus struct {
+	Name     string
+	Term     uint64 `json:",string"`
+	Primary  string
+	Phase    string
+	Members  []string
+	Previous []string
+}
+
+type systemStatus struct {
+	Configuration uint64 `json:",string"`
+	Groups        []groupStatus
+	Proxies       []struct {
+		Proxy         struct{ Name string }
+		Configuration uint64 `json:",string"`
+		Live          bool
+	}
+}
+
+// status asks control through the operators' command.
+func (d *deployment) status() (systemStatus, error) {
+	var status systemStatus
+
+	output, err := d.operate("status", "--json")
+	if err != nil {
+		return status, err
+	}
+
+	return status, json.Unmarshal(output, &status)
+}
+
+// operate runs a subcommand of operators against the control processes in turn, until one answers.
+func (d *deployment) operate(args ...string) ([]byte, error) {
+	var last error
+
+	for _, control := range d.controls {
+		output, err := d.operateAt(control, args...)
+		if err == nil {
+			return output, nil
+		}
+
+		last = err
+	}
+
+	return nil, last
+}
+
+// operateAt runs a subcommand of operators against one process.
+func (d *deployment) operateAt(process *process, args ...string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+
+	args = append(args, "--address", process.operator)
+	command := exec.CommandContext(ctx, filepath.Join(d.programs, "almondgrade"), args...)
+
+	var stderr bytes.Buffer
+
+	command.Stderr = &stderr
+	output, err := command.Output()
+
+	if err != nil {
+		return output, fmt.Errorf("%w: %s", err, stderr.String())
+	}
+
+	return output, nil
+}
+
+func (d *deployment) group(name string) groupStatus {
+	d.t.Helper()
+
+	var found groupStatus
+
+	eventually(d.t, "status of group "+name, startLimit, func() error {
+		status, err := d.status()
+		if err != nil {
+			return err
+		}
+
+		for _, g := range status.Groups {
+			if g.Name == name {
+				found = g
+
+				return nil
+			}
+		}
+
+		return fmt.Errorf("group %s is not known", name)
+	})
+
+	return found
+}
+
+func (d *deployment) member(name string) *process {
+	for _, member := range d.members {
+		if member.name == name {
+			return member
+		}
+	}
+
+	d.t.Fatalf("no member %s", name)
+
+	return nil
+}
+
+// connect opens a caller's connection through a proxy.
+func (d *deployment) connect(proxy *process, application string) *pgx.Conn {
+	d.t.Helper()
+
+	var conn *pgx.Conn
+
+	eventually(d.t, "connection to "+proxy.name, startLimit, func() error {
+		var err error
+		conn, err = d.tryConnect(proxy, application, "")
+
+		return err
+	})
+	d.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+
+	return conn
+}
+
+func (d *deployment) tryConnect(proxy *process, application, group string) (*pgx.Conn, error) {
+	name := database
+	if group != "" {
+		name += "." + group
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+
+	return pgx.Connect(ctx, fmt.Sprintf("postgres://clerk@%s/%s?sslmode=disable&application_name=%s",
+		proxy.address, name, application))
+}
+
+func (d *deployment) finish() {
+	for _, group := range [][]*process{d.proxies, d.members, d.controls} {
+		for _, p := range group {
+			p.kill()
+		}
+	}
+
+	if !d.t.Failed() {
+		return
+	}
+
+	for _, group := range [][]*process{d.controls, d.proxies, d.members} {
+		for _, p := range group {
+			if p.log != nil {
+				d.t.Logf("---- log of %s\n%s", p.name, tail(p.log.String(), 60))
+			}
+		}
+	}
+}
+
+func tail(text string, lines int) string {
+	all := strings.Split(strings.TrimRight(text, "\n"), "\n")
+
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
+
+func (p *process) start() {
+	p.t.Helper()
+
+	if p.log == nil {
+		p.log = &lockedBuffer{}
+	}
+
+	p.command = exec.Command(p.program, p.args...)
+	p.command.Stdout, p.command.Stderr = p.log, p.log
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+
+	// The death signal is sent when the thread that started the process ends.
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+
+	require.NoError(p.t, p.command.Start())
+
+	command, ended := p.command, make(chan struct{})
+	p.ended = ended
+
+	go func() {
+		_ = command.Wait()
+		close(ended)
+	}()
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	_ = p.command.Process.Signal(signal)
+}
+
+func (p *process) kill() {
+	if p.command == nil {
+		return
+	}
+
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+func (p *process) restart() {
+	p.kill()
+	p.start()
+}
+
+// inject sets a fault switch of a member.
+func (p *process) inject(fault map[string]any) {
+	p.t.Helper()
+
+	body, err := json.Marshal(fault)
+	require.NoError(p.t, err)
+
+	reply, err := http.Post("http://"+p.fault+"/fault", "application/json", bytes.NewReader(body)) //nolint:noctx // A test.
+	require.NoError(p.t, err)
+	require.NoError(p.t, reply.Body.Close())
+	require.Equal(p.t, http.StatusOK, reply.StatusCode)
+}
+
+// eventually waits for a condition and fails the test with its last error.
+func eventually(t *testing.T, what string, limit time.Duration, condition func() error) {
+	t.Helper()
+
+	var err error
+
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(waitPeriod) {
+		if err = condition(); err == nil {
+			return
+		}
+	}
+
+	t.Fatalf("%s: not within %s: %v", what, limit, err)
+}
+
+// freeAddress returns a loopback address on which nothing listens at present.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // A test.
+	require.NoError(t, err)
+	defer listener.Close()
+
+	return listener.Addr().String()
+}
+
+// lockedBuffer collects the output of a process.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	return b.buffer.Write(data)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+
+	return b.buffer.String()
+}
