cmd/almonddev: add up, a whole local system in one process

Also internal/controller: add one member a step. Two replicas that had caught up at the same time led to a refused second change and a warning at each start.

--- a/cmd/almonddev/main.go
+++ b/cmd/almonddev/main.go
@@ -18,6 +18,7 @@
 // subcommands lists the subcommands in the order of the help text.
 func subcommands() []subcommand {
 	return []subcommand{
+		upSubcommand(),
 		memberSubcommand(),
 	}
 }
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -76,11 +76,19 @@
 		return retryPeriod
 	}
 
-	settled := true
+	settled, added := true, false
 
 	for _, server := range view.Servers {
-		if server.Group == group.Name && server.Name != group.Primary && !server.Leaving {
-			settled = w.reconcileReplica(ctx, view, group, server, primary) && settled
+		if server.Group != group.Name || server.Name == group.Primary || server.Leaving {
+			continue
+		}
+
+		attached, caughtUp := w.reconcileReplica(ctx, view, group, server, primary)
+		settled = settled && attached && (caughtUp || slices.Contains(group.Members, server.Name))
+
+		if caughtUp && !added && !slices.Contains(group.Members, server.Name) {
+			added = w.addMember(ctx, group, server)
+			settled = false
 		}
 	}
 
@@ -152,41 +160,38 @@
 	return seen, err //nolint:wrapcheck // It names the statement.
 }
 
-// reconcileReplica attaches one server and adds it to the members once it has caught up. It returns whether the
-// server is as it should be.
+// reconcileReplica attaches one server. It returns whether the server follows the primary, and whether it has
+// everything that the primary held when it was observed.
 func (w *worker) reconcileReplica(
 	ctx context.Context, view *registry.View, group registry.Group, server registry.Server, primary backend.Observation,
-) bool {
+) (attached, caughtUp bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 
 	admin, err := w.lead.controller.admin(ctx, server)
 	if err != nil {
-		return false
+		return false, false
 	}
 	defer admin.Close()
 
 	seen, err := admin.Observe(ctx)
 	if err != nil || !seen.Recovery {
 		// A primary of an old term waits for the platform, which rewinds it.
-		return false
+		return false, false
 	}
 
 	address := view.Servers[group.Primary].Address
-	follows := seen.Follow.Term == group.Term && !seen.Follow.Fenced && seen.Follow.Primary == address
-
-	if !follows {
-		return w.attach(ctx, admin, group, server, seen, address)
+	if seen.Follow.Term == group.Term && !seen.Follow.Fenced && seen.Follow.Primary == address {
+		return true, seen.Received >= primary.Insert
 	}
 
-	if slices.Contains(group.Members, server.Name) {
-		return true
-	}
+	w.attach(ctx, admin, group, server, seen, address)
 
-	if seen.Received < primary.Insert {
-		return false
-	}
+	return false, false
+}
 
+// addMember makes a server count in the quorums of its group.
+func (w *worker) addMember(ctx context.Context, group registry.Group, server registry.Server) bool {
 	return w.lead.controller.record(ctx, "member added", registry.Command{Members: &registry.ChangeMembers{
 		Group: group.Name, Term: group.Term, Add: server.Name, Identity: server.Identity,
 	}}, "group", group.Name, "server", server.Name)
@@ -197,24 +202,22 @@
 func (w *worker) attach(
 	ctx context.Context, admin *backend.Admin, group registry.Group, server registry.Server, seen backend.Observation,
 	address netip.AddrPort,
-) bool {
+) {
 	if !prefix(group, seen) {
 		w.lead.controller.count("attach_needs_rewind")
 		w.lead.controller.options.Logger.Warn("server must be rewound before it can be attached", "group", group.Name,
 			"server", server.Name, "term", seen.Follow.Term, "received", seen.Received)
 
-		return false
+		return
 	}
 
 	if err := admin.Attach(ctx, server.Name, group.Term, address); err != nil {
 		w.lead.controller.options.Logger.Warn("attaching failed", "group", group.Name, "server", server.Name, "error", err)
 
-		return false
+		return
 	}
 
 	w.lead.controller.options.Logger.Info("server attached", "group", group.Name, "server", server.Name, "term", group.Term)
-
-	return false
 }
 
 // prefix reports whether what a replica has received is a prefix of the log of the present term. A server that was
