--- a/internal/system/harness_test.go
+++ b/internal/system/harness_test.go
@@ -485,7 +485,7 @@
 	reply, err := http.Post("http://"+p.fault+"/fault", "application/json", bytes.NewReader(body)) //nolint:noctx // A test.
 	require.NoError(p.t, err)
 	require.NoError(p.t, reply.Body.Close())
-	require.Equal(p.t, http.StatusOK, reply.StatusCode)
+	require.Equal(p.t, http.StatusNoContent, reply.StatusCode)
 }
 
 // eventually waits for a condition and fails the test with its last error.
