internal/standin: test protocol, faults and replication

They found, and this commit fixes: bytea and boolean parameters of unknown type stored as text (TestValuesRoundTrip), casts after SELECT and numbers like .5 rejected (TestRewriting), COPY of a query rejected (TestCopy), a zero-filled log tail read as an empty record (TestLogSurvivesTornTail).

--- a/internal/standin/copy.go
+++ b/internal/standin/copy.go
@@ -197,6 +197,8 @@
 		}
 
 		query = "SELECT " + strings.TrimSuffix(columns, ")") + " FROM " + name
+	} else {
+		query = joinTokens(target[1 : len(target)-1])
 	}
 
 	cur, err := s.runInternal(query)
@@ -243,5 +245,7 @@
 		return nil, err
 	}
 
+	st.hasCost = true // It is part of a statement that has its own cost.
+
 	return s.openSQL(st, args)
 }
--- a/internal/standin/encode.go
+++ b/internal/standin/encode.go
@@ -276,6 +276,17 @@
 	return 0
 }
 
+// normalTime returns a time in the one form that SQLite compares correctly as text.
+func normalTime(raw string, oid uint32) string {
+	for _, form := range []string{timestampForm, "2006-01-02 15:04:05.999999Z07:00", time.RFC3339Nano, time.DateTime} {
+		if at, err := time.Parse(form, raw); err == nil {
+			return textForm(at, oid)
+		}
+	}
+
+	return raw
+}
+
 func decodeText(raw string, oid uint32) (any, error) {
 	var err error
 
@@ -290,6 +301,8 @@
 		if n, err = strconv.ParseInt(strings.TrimSpace(raw), 10, 64); err == nil {
 			return n, nil
 		}
+	case pgtype.TimestamptzOID, pgtype.TimestampOID:
+		return normalTime(raw, oid), nil
 	case pgtype.Float4OID, pgtype.Float8OID:
 		var f float64
 		if f, err = strconv.ParseFloat(raw, 64); err == nil {
--- a/internal/standin/extended.go
+++ b/internal/standin/extended.go
@@ -59,10 +59,12 @@
 
 	made := &prepared{st: st, parameters: st.parameters(message.ParameterOIDs)}
 
-	if _, err := s.columnInfo(st); err != nil {
+	if _, err := s.columnInfo(st.rewriteFor(s)); err != nil {
 		return err
 	}
 
+	s.inferParameters(made)
+
 	s.statements[message.Name] = made
 	s.back.Send(&pgproto3.ParseComplete{})
 
@@ -109,9 +111,124 @@
 	return types
 }
 
-// columnInfo returns SQLite's description of the columns without running the statement.
-func (s *session) columnInfo(st *statement) ([]sqlite.ColumnInfo, error) {
+// rewriteFor returns the SQLite text of a statement, or nothing if SQLite does not run it.
+func (st *statement) rewriteFor(s *session) string {
 	if !st.runsSQL() || st.words[0].is("lock") {
+		return ""
+	}
+
+	return st.rewrite(s.env.key)
+}
+
+// inferParameters gives parameters of unknown type the type of the column that they are stored in or compared with.
+func (s *session) inferParameters(p *prepared) {
+	table, columns := p.st.target()
+
+	if table == "" || !slices.Contains(p.parameters, 0) {
+		return
+	}
+
+	if len(columns) == 1 && columns[0] == "*" {
+		columns = s.columnNames(table)
+	}
+
+	// place counts the values of a row of VALUES.
+	place, depth := 0, 0
+
+	for i, t := range p.st.words {
+		switch {
+		case t.is("("):
+			if depth++; depth == 1 {
+				place = 0
+			}
+		case t.is(")"):
+			depth--
+		case t.is(",") && depth == 1:
+			place++
+		case t.kind == parameter:
+			name := ""
+
+			if p.st.at(i-1).is("=", "<", ">") {
+				name = p.st.at(i - 2).raw
+			} else if depth == 1 && place < len(columns) && p.st.at(i-1).is("(", ",") && p.st.at(i+1).is(")", ",") {
+				name = columns[place]
+			}
+
+			p.infer(t, func() uint32 { return s.columnType(table, name) })
+		}
+	}
+}
+
+// infer sets the type of a parameter if it is unknown.
+func (p *prepared) infer(t token, find func() uint32) {
+	if n := int(parseNumber(t.raw[1:])); n >= 1 && n <= len(p.parameters) && p.parameters[n-1] == 0 {
+		p.parameters[n-1] = find()
+	}
+}
+
+// target returns the first table that a statement names and the columns that an INSERT fills.
+func (st *statement) target() (table string, columns []string) {
+	for i, t := range st.words {
+		if !t.is("from", "into") && (i > 0 || !t.is("update")) {
+			continue
+		}
+
+		i++
+		if st.at(i).is("public") {
+			i += 2
+		}
+
+		if table = st.at(i).raw; !st.words[0].is("insert") {
+			return table, nil
+		}
+
+		if !st.at(i + 1).is("(") {
+			return table, []string{"*"}
+		}
+
+		for i += 2; st.at(i).raw != "" && !st.at(i).is(")"); i++ {
+			if !st.at(i).is(",") {
+				columns = append(columns, st.at(i).raw)
+			}
+		}
+
+		return table, columns
+	}
+
+	return "", nil
+}
+
+func (s *session) columnNames(table string) []string {
+	info, err := s.columnInfo("SELECT * FROM " + table)
+	if err != nil {
+		return nil
+	}
+
+	names := make([]string, len(info))
+	for i, each := range info {
+		names[i] = each.Name
+	}
+
+	return names
+}
+
+// columnType returns the type of a table's column, or zero if it can't be found.
+func (s *session) columnType(table, column string) uint32 {
+	if column == "" {
+		return 0
+	}
+
+	info, err := s.columnInfo("SELECT " + column + " FROM " + table)
+	if err != nil || len(info) != 1 || info[0].DeclType == "" {
+		return 0
+	}
+
+	return typeOID(info[0].DeclType)
+}
+
+// columnInfo returns SQLite's description of a query's columns without running it.
+func (s *session) columnInfo(query string) ([]sqlite.ColumnInfo, error) {
+	if query == "" {
 		return nil, nil
 	}
 
@@ -126,7 +243,7 @@
 		}
 
 		var err error
-		info, err = describer.ColumnInfo(st.rewrite(s.env.key))
+		info, err = describer.ColumnInfo(query)
 
 		return err
 	})
@@ -144,7 +261,7 @@
 	case p.st.verb == verbShow:
 		p.columns = []column{{strings.ToLower(settingValue(p.st.words[1:])), oidText}}
 	case p.st.rows:
-		info, err := s.columnInfo(p.st)
+		info, err := s.columnInfo(p.st.rewriteFor(s))
 		if err != nil {
 			return err
 		}
@@ -174,7 +291,14 @@
 		return row
 	}
 
-	rows, err := s.conn.QueryContext(context.Background(), p.st.rewrite(s.env.key), make([]any, len(p.parameters))...)
+	args := make([]any, len(p.parameters))
+	for i, oid := range p.parameters {
+		if oid == oidInt8 {
+			args[i] = int64(1) // NULL is no valid LIMIT.
+		}
+	}
+
+	rows, err := s.conn.QueryContext(context.Background(), p.st.rewrite(s.env.key), args...)
 	if err != nil {
 		return row
 	}
--- a/internal/standin/lex.go
+++ b/internal/standin/lex.go
@@ -52,6 +52,10 @@
 	return r >= '0' && r <= '9'
 }
 
+func inName(r rune) bool {
+	return r == '_' || r == '$' || unicode.IsLetter(r) || unicode.IsDigit(r)
+}
+
 // scanSpace returns the length of the space or comment at the beginning, or zero.
 func scanSpace(sql string) int {
 	switch {
@@ -78,12 +82,10 @@
 		return map[rune]kind{'\'': text, '"': quotedName}[first], quote(sql, 0, false)
 	case first == '$':
 		return scanDollar(sql)
-	case isDigit(first):
+	case isDigit(first) || first == '.' && len(sql) > 1 && isDigit(rune(sql[1])):
 		return number, scanNumber(sql)
-	case first == '_' || unicode.IsLetter(first):
-		return word, len(sql) - len(strings.TrimLeftFunc(sql, func(r rune) bool {
-			return r == '_' || r == '$' || unicode.IsLetter(r) || unicode.IsDigit(r)
-		}))
+	case inName(first):
+		return word, len(sql) - len(strings.TrimLeftFunc(sql, inName))
 	case strings.HasPrefix(sql, "::"):
 		return symbol, len("::")
 	default:
--- a/internal/standin/rewrite.go
+++ b/internal/standin/rewrite.go
@@ -10,7 +10,10 @@
 
 type verb uint8
 
-const selectVerb = "select"
+const (
+	selectVerb = "select"
+	valuesVerb = "values"
+)
 
 const (
 	verbRead verb = iota
@@ -54,7 +57,7 @@
 	verbs       = map[string]verb{
 		"begin": verbBegin, "start": verbBegin, "commit": verbCommit, "end": verbCommit, "rollback": verbRollback,
 		"abort": verbRollback, "savepoint": verbSavepoint, "release": verbSavepoint, "set": verbSet, "show": verbShow,
-		"reset": verbReset, "discard": verbDiscard, "copy": verbCopy, selectVerb: verbRead, "values": verbRead,
+		"reset": verbReset, "discard": verbDiscard, "copy": verbCopy, selectVerb: verbRead, valuesVerb: verbRead,
 		"table": verbRead, "explain": verbRead, "with": verbRead, "listen": verbNothing, "unlisten": verbNothing,
 		"notify": verbNothing, "vacuum": verbNothing, "analyze": verbNothing, //nolint:misspell // The keyword of PostgreSQL.
 		"checkpoint": verbNothing,
@@ -63,7 +66,7 @@
 		"grant": verbNothing, "revoke": verbNothing,
 	}
 	countedTags = map[string]string{
-		"insert": "INSERT 0", "update": "UPDATE", "delete": "DELETE", selectVerb: "SELECT", "values": "SELECT",
+		"insert": "INSERT 0", "update": "UPDATE", "delete": "DELETE", selectVerb: "SELECT", valuesVerb: "SELECT",
 		"table": "SELECT",
 	}
 )
@@ -128,7 +131,7 @@
 		st.classifyDefinition(main)
 	case "insert", "update", "delete":
 		st.rows = st.has("returning")
-	case selectVerb, "values", "table", "explain":
+	case selectVerb, valuesVerb, "table", "explain":
 		st.rows = true
 		st.locks = st.sequence("for", "update") || st.sequence("for", "share") || st.sequence("for", "no")
 	case "truncate":
@@ -236,6 +239,11 @@
 		"integer": sqliteInteger, "bigint": sqliteInteger, "smallint": sqliteInteger, "oid": sqliteInteger, "float4": "REAL", "float8": "REAL", "real": "REAL",
 		"double": "REAL", "numeric": "NUMERIC", "decimal": "NUMERIC", "bytea": "BLOB",
 	}
+	// beforeOperand are the keywords that may precede an expression in parentheses.
+	beforeOperand = []string{
+		selectVerb, "where", "and", "or", "not", "in", valuesVerb, "on", "when", "then", "else", "case", "from", "by", "set",
+		"returning", "having", "limit", "offset", "as", "between", "like", "distinct", "all",
+	}
 	serialTypes = []string{"serial", "bigserial", "smallserial", "serial4", "serial8"}
 	viewColumns = map[string][]string{
 		"pg_stat_activity": {
@@ -444,7 +452,8 @@
 			continue
 		}
 
-		if r.out[from] == "(" && from > 0 && plainName.MatchString(r.out[from-1]) {
+		if r.out[from] == "(" && from > 0 && plainName.MatchString(r.out[from-1]) &&
+			!(token{word, r.out[from-1]}).is(beforeOperand...) {
 			from--
 		}
 
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -131,7 +132,7 @@
 
 func stateOf(err error) string {
 	var failed *pgconn.PgError
-	if ok := asPgError(err, &failed); ok {
+	if errors.As(err, &failed) {
 		return failed.Code
 	}
 
--- a/internal/standin/wal.go
+++ b/internal/standin/wal.go
@@ -81,8 +81,9 @@
 		return record{}, err
 	}
 
+	// A file that was extended with zeros must not pass for empty records.
 	length := binary.BigEndian.Uint32(header[:])
-	if length > walMaxPayload {
+	if length == 0 || length > walMaxPayload {
 		return record{}, io.ErrUnexpectedEOF
 	}
 
