internal/standin: end faults when a member closes

Cause: a connection that was closed behind a partition left a goroutine behind when its member closed; the callback of a lost connection was set without a lock. Both were found by reading the code.

Conclusion: no test fails without this change.

--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -109,8 +109,10 @@
 	return len(f.links)
 }
 
-// closeAll closes the sockets of connections whose end their peers could not see.
+// closeAll ends the faults and closes the sockets of connections whose end their peers could not see.
 func (f *faults) closeAll() {
+	f.update(func() { f.frozen, f.partitions = false, nil })
+
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -127,7 +129,8 @@
 	faults *faults
 	peer   atomic.Pointer[string]
 	lost   atomic.Bool
-	lostAt func()
+	// onLoss is called when the connection is lost; it is guarded by the mutex of faults.
+	onLoss func()
 	closed chan struct{}
 	once   sync.Once
 }
@@ -146,9 +149,16 @@
 	l.peer.Store(&peer)
 }
 
+func (l *link) whenLost(act func()) {
+	l.faults.mu.Lock()
+	defer l.faults.mu.Unlock()
+
+	l.onLoss = act
+}
+
 func (l *link) lose() {
-	if l.lost.CompareAndSwap(false, true) && l.lostAt != nil {
-		l.lostAt()
+	if l.lost.CompareAndSwap(false, true) && l.onLoss != nil {
+		l.onLoss()
 	}
 }
 
--- a/internal/standin/session.go
+++ b/internal/standin/session.go
@@ -76,7 +76,7 @@
 		portals: map[string]*portal{},
 	}
 	s.ctx, s.end = context.WithCancelCause(srv.ctx)
-	l.lostAt = func() { time.AfterFunc(srv.member.options.LostTimeout, s.terminate) }
+	l.whenLost(func() { time.AfterFunc(srv.member.options.LostTimeout, s.terminate) })
 
 	if s.database == "" {
 		s.database = s.user
