--- /dev/null
+++ b/io/control/client.go
@@ -0,0 +1,117 @@
+package control
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"almondgrade/core/registry"
+	"almondgrade/core/timer"
+)
+
+const (
+	// renewPeriod is the time between two renewals of the configuration lease.
+	renewPeriod = time.Second
+	// answerTimeout is the time after which a stream that does not answer a renewal is given up. The connection
+	// may have gone silent; a new one is opened while the lease still has a second left.
+	answerTimeout = 1500 * time.Millisecond
+	// connectTimeout bounds the opening of a stream to one control member.
+	connectTimeout = time.Second
+)
+
+// Options configure a Client.
+type Options struct {
+	// Members are the control processes to try first; the client learns others from answers.
+	Members []netip.AddrPort
+	// Proxy describes the proxy that watches. Its Number is assigned by control.
+	Proxy  registry.Proxy
+	Dial   func(netip.AddrPort) (*grpc.ClientConn, error)
+	Timer  timer.Service
+	Logger *slog.Logger
+}
+
+// Client is a proxy's connection to control. It is safe for concurrent use.
+type Client struct {
+	*Caller
+
+	options  Options
+	picture  atomic.Pointer[Picture]
+	number   atomic.Uint32
+	draining atomic.Bool
+	// until is the end of the lease, as time since start.
+	until  atomic.Int64
+	start  time.Time
+
+	mutex   sync.Mutex
+	changed chan struct{}
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// New starts watching control and returns at once.
+func New(options Options) *Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := &Client{
+		Caller: NewCaller(options.Members, options.Dial), options: options, start: options.Timer.Now(),
+		changed: make(chan struct{}), cancel: cancel,
+	}
+	client.done.Go(func() { client.watch(ctx) })
+
+	return client
+}
+
+// Close ends the watch.
+func (c *Client) Close() {
+	c.cancel()
+	c.done.Wait()
+	c.Caller.Close()
+}
+
+// View returns the latest view, or nil before the first one.
+func (c *Client) View() *registry.View {
+	if picture := c.picture.Load(); picture != nil {
+		return picture.View
+	}
+
+	return nil
+}
+
+// Number returns the number that control gave to the proxy, zero before it has joined.
+func (c *Client) Number() uint32 {
+	return c.number.Load()
+}
+
+// Leased reports whether the configuration lease has not expired.
+func (c *Client) Leased() bool {
+	return int64(c.options.Timer.Now().Sub(c.start)) < c.until.Load()
+}
+
+// Confirmed reports whether the proxy may take new work: its lease has not expired, or the configuration says to
+// serve without one.
+func (c *Client) Confirmed() bool {
+	view := c.View()
+	if view == nil || view.Configuration == 0 {
+		return false
+	}
+
+	return c.Leased() || view.Running.WhenUnconfirmed == "serve"
+}
+
+// Changed returns a channel that is closed when the next view arrives.
+func (c *Client) Changed() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return c.changed
+}
+
+// Leave tells control from now on that the proxy is shutting down, so that it coordinates no group.
+func (c *Client) Leave() {
+	c.draining.Store(true)
+}
