--- a/internal/proxy/helpers_test.go
+++ b/internal/proxy/helpers_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -71,6 +74,8 @@
 	users       map[string]settings.User
 	timing      func(*settings.Timing)
 	proxies     []string
+	// scripts are servers that take the place of the stand-ins.
+	scripts []*script
 }
 
 func context30(t *testing.T) context.Context {
@@ -125,7 +130,15 @@
 		History: position.NewHistory(position.Begin{Term: term}),
 	}
 
+	for i, one := range o.scripts {
+		c.add(view, &group, o, i, one.address())
+	}
+
 	for i := range o.replicas + 1 {
+		if o.scripts != nil {
+			break
+		}
+
 		member, err := standin.New(standin.Options{
 			Name: memberName(i), Group: groupName, Primary: i == 0, ConnectCost: -1, StatementCost: -1,
 			ReceiveDelay: time.Millisecond, Lag: max(o.lag, time.Millisecond), Slots: o.slots, Connections: o.connections + 5,
@@ -144,16 +157,10 @@
 		}
 
 		c.members, c.admins = append(c.members, member), append(c.admins, admin)
-		c.slots = append(c.slots, make(chan struct{}, o.slots))
-		c.connections = append(c.connections, make(chan struct{}, o.connections))
-		group.Members = append(group.Members, memberName(i))
-		view.Servers[memberName(i)] = registry.Server{
-			Name: memberName(i), Group: groupName, Address: member.Addr(), Identity: "disk", Incarnation: 1,
-			Slots: o.slots, Connections: o.connections, Recovery: i > 0,
-		}
+		c.add(view, &group, o, i, member.Addr())
 	}
 
-	c.mu = make([]sync.Mutex, len(c.members))
+	c.mu = make([]sync.Mutex, len(c.slots))
 	view.Groups[groupName] = group
 
 	for i, name := range o.proxies {
@@ -169,6 +176,16 @@
 	return c
 }
 
+func (c *cluster) add(view *registry.View, group *registry.Group, o options, i int, address netip.AddrPort) {
+	c.slots = append(c.slots, make(chan struct{}, o.slots))
+	c.connections = append(c.connections, make(chan struct{}, o.connections))
+	group.Members = append(group.Members, memberName(i))
+	view.Servers[memberName(i)] = registry.Server{
+		Name: memberName(i), Group: groupName, Address: address, Identity: "disk", Incarnation: 1,
+		Slots: o.slots, Connections: o.connections, Recovery: i > 0,
+	}
+}
+
 func (c *cluster) startProxy(name string, limit int) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(c.t, err)
@@ -285,6 +302,10 @@
 func (f *fake) Confirmed() bool { return !f.cluster.unconfirmed.Load() }
 
 func (f *fake) observe(ctx context.Context, i int) (backend.Observation, error) {
+	if f.cluster.admins == nil {
+		return backend.Observation{Insert: scriptLSN, Replayed: scriptLSN}, nil
+	}
+
 	f.cluster.mu[i].Lock()
 	defer f.cluster.mu[i].Unlock()
 
@@ -308,7 +329,7 @@
 func (f *fake) Observations(string) []proxy.Observation {
 	var observations []proxy.Observation
 
-	for i := range f.cluster.members {
+	for i := range f.cluster.slots {
 		seen, err := f.observe(context.Background(), i)
 		observations = append(observations, proxy.Observation{
 			Server: memberName(i), Reachable: err == nil, At: time.Now(),
@@ -347,7 +368,7 @@
 			}
 		}
 
-		if count >= quorum {
+		if count >= quorum || f.cluster.admins == nil {
 			return position.Position{Term: of, LSN: want.Insert}, nil
 		}
 
@@ -402,3 +423,46 @@
 	return nil
 }
 
+func (c *cluster) leave(leaving bool) {
+	c.change(func(view *registry.View) {
+		server := view.Servers[memberName(0)]
+		server.Leaving = leaving
+		view.Servers[memberName(0)] = server
+	})
+}
+
+// fill takes all permits, empty returns them.
+func (c *cluster) fill(permits chan struct{}) {
+	for range cap(permits) {
+		permits <- struct{}{}
+	}
+}
+
+func (c *cluster) empty(permits chan struct{}) {
+	for range cap(permits) {
+		<-permits
+	}
+}
+
+func connectError(t *testing.T, url string) error {
+	t.Helper()
+
+	conn, err := pgx.Connect(context30(t), url)
+	if err == nil {
+		_ = conn.Close(context30(t))
+	}
+
+	require.Error(t, err)
+
+	return err
+}
+
+// copyAll reads to the end; a reset counts as the end.
+func copyAll(to io.Writer, from io.Reader) (int64, error) {
+	n, err := io.Copy(to, from)
+	if errors.Is(err, syscall.ECONNRESET) {
+		err = nil
+	}
+
+	return n, err
+}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -217,6 +217,10 @@
 	}
 
 	s.fatal(err)
+
+	if code := result.CodeOf(err); code == result.Protocol || code == result.TooLarge {
+		s.caller.Linger()
+	}
 }
 
 func (s *session) fatal(err error) {
--- /dev/null
+++ b/internal/proxy/session_test.go
@@ -0,0 +1,414 @@
+package proxy_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+)
+
+// Guards against statements of a transaction that run outside it or are lost, and against a failed transaction that
+// goes on.
+func TestTransactions(t *testing.T) {
+	c := newCluster(t, options{replicas: 2})
+	conn, other := c.connect("p1", ""), c.connect("p1", "")
+	c.exec(conn, "CREATE TABLE t (id int primary key)")
+
+	tests := []struct {
+		name string
+		run  func(tx pgx.Tx) error
+		rows int64
+	}{
+		{"commit", func(tx pgx.Tx) error {
+			_, err := tx.Exec(context30(t), "INSERT INTO t VALUES (1)")
+			require.NoError(t, err)
+			assert.Zero(t, query[int64](t, other, "SELECT count(*) FROM t"), "not committed yet")
+
+			return tx.Commit(context30(t))
+		}, 1},
+		{"rollback", func(tx pgx.Tx) error {
+			_, err := tx.Exec(context30(t), "INSERT INTO t VALUES (2)")
+			require.NoError(t, err)
+
+			return tx.Rollback(context30(t))
+		}, 1},
+		{"error inside", func(tx pgx.Tx) error {
+			_, err := tx.Exec(context30(t), "INSERT INTO t VALUES ($1)", 3)
+			require.NoError(t, err)
+			_, err = tx.Exec(context30(t), "INSERT INTO t VALUES ($1)", 3)
+			require.Equal(t, "23505", stateOf(err))
+			_, err = tx.Exec(context30(t), "SELECT 1")
+			require.Equal(t, "25P02", stateOf(err))
+
+			return tx.Rollback(context30(t))
+		}, 1},
+		{"savepoint", func(tx pgx.Tx) error {
+			_, err := tx.Exec(context30(t), "INSERT INTO t VALUES (4)")
+			require.NoError(t, err)
+
+			inner, err := tx.Begin(context30(t))
+			require.NoError(t, err)
+			_, err = inner.Exec(context30(t), "INSERT INTO t VALUES (4)")
+			require.Equal(t, "23505", stateOf(err))
+			require.NoError(t, inner.Rollback(context30(t)))
+
+			return tx.Commit(context30(t))
+		}, 2},
+	}
+
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			tx, err := conn.Begin(context30(t))
+			require.NoError(t, err)
+			require.NoError(t, test.run(tx))
+			assert.Equal(t, test.rows, query[int64](t, other, "SELECT count(*) FROM t"))
+		})
+	}
+}
+
+// Guards against transactions that mix on shared connections, and against a deadlock between transactions that hold
+// locks without a slot and statements that hold the slots and wait for the locks.
+func TestConcurrentTransactionsOnOneRow(t *testing.T) {
+	c := newCluster(t, options{replicas: 2, slots: 2, connections: 4, proxies: []string{"p1", "p2"}})
+	conn := c.connect("p1", "")
+	c.exec(conn, "CREATE TABLE t (id int primary key, n int)")
+	c.exec(conn, "INSERT INTO t VALUES (1, 0)")
+
+	const callers, rounds = 8, 5
+
+	var group errgroup.Group
+
+	for i := range callers {
+		one := c.connect([]string{"p1", "p2"}[i%2], "")
+
+		group.Go(func() error {
+			for range rounds {
+				err := pgx.BeginFunc(context30(t), one, func(tx pgx.Tx) error {
+					if _, err := tx.Exec(context30(t), "UPDATE t SET n = n + 1 WHERE id = 1"); err != nil {
+						return err
+					}
+
+					_, err := tx.Exec(context30(t), "INSERT INTO t (id, n) SELECT max(id) + 1, 0 FROM t")
+
+					return err
+				})
+				if err != nil {
+					return err
+				}
+			}
+
+			return nil
+		})
+	}
+
+	require.NoError(t, group.Wait())
+	assert.EqualValues(t, callers*rounds, query[int64](t, conn, "SELECT n FROM t WHERE id = 1"))
+	assert.EqualValues(t, callers*rounds+1, query[int64](t, conn, "SELECT count(*) FROM t"))
+}
+
+// Guards against a statement prepared by one caller that is missing, or another one, on the pooled connection that
+// the caller gets next.
+func TestPreparedStatementsAcrossPooledConnections(t *testing.T) {
+	c := newCluster(t, options{replicas: 1, connections: 2})
+
+	var group errgroup.Group
+
+	for i := range 6 {
+		conn := c.connect("p1", "")
+
+		group.Go(func() error {
+			// Each caller uses the same name for another text.
+			if _, err := conn.Prepare(context30(t), "mine", fmt.Sprintf("SELECT $1 || '-%d'", i)); err != nil {
+				return err
+			}
+
+			for n := range 20 {
+				var got string
+				if err := conn.QueryRow(context30(t), "mine", fmt.Sprint(n)).Scan(&got); err != nil {
+					return err
+				}
+
+				if want := fmt.Sprintf("%d-%d", n, i); got != want {
+					return fmt.Errorf("caller %d got %s, want %s", i, got, want)
+				}
+			}
+
+			return nil
+		})
+	}
+
+	require.NoError(t, group.Wait())
+
+	conn := c.connect("p1", "")
+	_, err := conn.Prepare(context30(t), "one", "SELECT 1")
+	require.NoError(t, err)
+	_, err = conn.PgConn().Prepare(context30(t), "one", "SELECT 2", nil)
+	assert.Equal(t, "42P05", stateOf(err), "a name can't be used twice")
+	require.NoError(t, conn.Deallocate(context30(t), "one"))
+	_, err = conn.PgConn().Prepare(context30(t), "one", "SELECT 2", nil)
+	require.NoError(t, err, "a name can be used again after it was closed")
+	require.NoError(t, conn.DeallocateAll(context30(t)))
+
+	failed := conn.PgConn().ExecPrepared(context30(t), "one", nil, nil, nil).Read()
+	assert.Equal(t, "26000", stateOf(failed.Err))
+}
+
+// Guards against more prepared statements on one connection than allowed, and against lost ones after an eviction.
+func TestPreparedStatementsBeyondTheLimit(t *testing.T) {
+	c := newCluster(t, options{connections: 1})
+	conn := c.connect("p1", "")
+
+	for i := range 300 {
+		_, err := conn.Prepare(context30(t), fmt.Sprintf("s%d", i), fmt.Sprintf("SELECT %d", i))
+		require.NoError(t, err)
+	}
+
+	for _, i := range []int{0, 299, 1, 150} {
+		assert.Equal(t, i, query[int](t, conn, fmt.Sprintf("s%d", i)))
+	}
+}
+
+// Guards against session parameters that leak to another caller or are missing on another connection.
+func TestParametersFollowTheSession(t *testing.T) {
+	c := newCluster(t, options{replicas: 1, connections: 2})
+	first, second := c.connect("p1", ""), c.connect("p1", "")
+
+	c.exec(first, "SET work_mem = '7MB'")
+
+	for range 5 {
+		assert.Equal(t, "7MB", query[string](t, first, "SHOW work_mem"))
+		assert.Equal(t, "4MB", query[string](t, second, "SHOW work_mem"))
+	}
+
+	tx, err := first.Begin(context30(t))
+	require.NoError(t, err)
+	_, err = tx.Exec(context30(t), "SET work_mem = '9MB'")
+	require.NoError(t, err)
+	require.NoError(t, tx.Rollback(context30(t)))
+	assert.Equal(t, "7MB", query[string](t, first, "SHOW work_mem"), "a rolled back SET has no effect")
+
+	c.exec(first, "BEGIN; SET LOCAL work_mem = '8MB'; COMMIT")
+	assert.Equal(t, "7MB", query[string](t, first, "SHOW work_mem"), "SET LOCAL ends with its transaction")
+
+	_, err = first.Exec(context30(t), "SET nonsense = 1")
+	require.Error(t, err)
+	assert.Equal(t, "7MB", query[string](t, first, "SHOW work_mem"))
+
+	c.exec(first, "RESET work_mem")
+	assert.Equal(t, "4MB", query[string](t, first, "SHOW work_mem"))
+
+	third := c.connect("p1", "&options=-c%20work_mem%3D3MB")
+	assert.Equal(t, "3MB", query[string](t, third, "SHOW work_mem"))
+	c.exec(third, "SET application_name = 'changed'")
+	assert.Equal(t, "changed", query[string](t, third, "SHOW application_name"))
+	assert.Equal(t, "changed", third.PgConn().ParameterStatus("application_name"))
+}
+
+// Guards against a session that loses the state of its connection, and against others that see it.
+func TestPinnedSessions(t *testing.T) {
+	c := newCluster(t, options{replicas: 1, connections: 3})
+	first, second := c.connect("p1", ""), c.connect("p1", "")
+
+	assert.True(t, query[bool](t, first, "SELECT pg_try_advisory_lock(1)"))
+	assert.False(t, query[bool](t, second, "SELECT pg_try_advisory_lock(1)"))
+	assert.EqualValues(t, 2, c.proxies["p1"].count("session_pinned"))
+
+	process := query[int](t, first, "SELECT pg_backend_pid()")
+	assert.Equal(t, process, query[int](t, first, "SELECT pg_backend_pid()"))
+	require.NoError(t, first.Close(context30(t)))
+
+	eventually(t, "the lock ends with the session", func() bool {
+		return query[bool](t, second, "SELECT pg_try_advisory_lock(1)")
+	})
+}
+
+// Guards against COPY that loses or repeats rows, and against a caller that is out of step after a failed COPY.
+func TestCopy(t *testing.T) {
+	c := newCluster(t, options{replicas: 1})
+	conn := c.connect("p1", "")
+	c.exec(conn, "CREATE TABLE t (id int primary key, v text)")
+
+	const rows = 2000
+
+	var in strings.Builder
+	for i := range rows {
+		fmt.Fprintf(&in, "%d\tvalue\n", i)
+	}
+
+	tag, err := conn.PgConn().CopyFrom(context30(t), strings.NewReader(in.String()), "COPY t FROM STDIN")
+	require.NoError(t, err)
+	assert.EqualValues(t, rows, tag.RowsAffected())
+	assert.EqualValues(t, rows, query[int64](t, conn, "SELECT count(*) FROM t"))
+
+	var out strings.Builder
+
+	tag, err = conn.PgConn().CopyTo(context30(t), &out, "COPY t TO STDOUT")
+	require.NoError(t, err)
+	assert.EqualValues(t, rows, tag.RowsAffected())
+	assert.Equal(t, rows, strings.Count(out.String(), "\n"))
+
+	failures := []struct {
+		name string
+		text string
+	}{
+		{"duplicate key", "1\tx\n"},
+		{"wrong number of columns", "1\t2\t3\t4\n" + strings.Repeat("100000\tx\n", 20_000)},
+	}
+
+	for _, failure := range failures {
+		t.Run(failure.name, func(t *testing.T) {
+			_, err := conn.PgConn().CopyFrom(context30(t), strings.NewReader(failure.text), "COPY t FROM STDIN")
+			require.Error(t, err)
+			assert.EqualValues(t, rows, query[int64](t, conn, "SELECT count(*) FROM t"))
+		})
+	}
+}
+
+// Guards against answers of a pipeline that arrive out of order, and against a batch that is spread over connections.
+func TestPipelines(t *testing.T) {
+	c := newCluster(t, options{replicas: 1})
+	conn := c.connect("p1", "")
+	c.exec(conn, "CREATE TABLE t (id int primary key)")
+
+	batch := &pgx.Batch{}
+	for i := range 500 {
+		batch.Queue("INSERT INTO t VALUES ($1)", i)
+		batch.Queue("SELECT count(*) FROM t")
+	}
+
+	results := conn.SendBatch(context30(t), batch)
+
+	for i := range 500 {
+		_, err := results.Exec()
+		require.NoError(t, err)
+
+		var count int
+		require.NoError(t, results.QueryRow().Scan(&count))
+		require.Equal(t, i+1, count)
+	}
+
+	require.NoError(t, results.Close())
+
+	pipeline := conn.PgConn().StartPipeline(context30(t))
+	pipeline.SendPrepare("p", "SELECT $1::int", nil)
+	pipeline.SendFlushRequest()
+	require.NoError(t, pipeline.Flush())
+
+	got, err := pipeline.GetResults()
+	require.NoError(t, err)
+	assert.IsType(t, &pgconn.StatementDescription{}, got, "a flushed batch is answered before Sync")
+
+	for i := range 3 {
+		pipeline.SendQueryPrepared("p", [][]byte{[]byte(fmt.Sprint(i))}, nil, nil)
+	}
+
+	require.NoError(t, pipeline.Sync())
+
+	for i := range 3 {
+		got, err := pipeline.GetResults()
+		require.NoError(t, err)
+
+		reader, ok := got.(*pgconn.ResultReader)
+		require.True(t, ok)
+
+		read := reader.Read()
+		require.NoError(t, read.Err)
+		assert.Equal(t, fmt.Sprint(i), string(read.Rows[0][0]))
+	}
+
+	_, err = pipeline.GetResults()
+	require.NoError(t, err)
+	require.NoError(t, pipeline.Close())
+
+	// An error in the middle of a batch ends the batch and nothing else.
+	broken := &pgx.Batch{}
+	broken.Queue("INSERT INTO t VALUES (1000)")
+	broken.Queue("INSERT INTO t VALUES (1)")
+	broken.Queue("INSERT INTO t VALUES (1001)")
+	assert.Equal(t, "23505", stateOf(conn.SendBatch(context30(t), broken).Close()))
+	assert.EqualValues(t, 500, query[int64](t, conn, "SELECT count(*) FROM t"))
+}
+
+// Guards against a large batch that waits for a server which itself waits for its answer to be read.
+func TestLargeBatch(t *testing.T) {
+	c := newCluster(t, options{replicas: 1})
+	conn := c.connect("p1", "")
+	batch := &pgx.Batch{}
+	text := strings.Repeat("x", 2000)
+
+	for range 3000 {
+		batch.Queue("SELECT $1::text", text)
+	}
+
+	results := conn.SendBatch(context30(t), batch)
+
+	for range 3000 {
+		var got string
+		require.NoError(t, results.QueryRow().Scan(&got))
+		require.Equal(t, text, got)
+	}
+
+	require.NoError(t, results.Close())
+}
+
+// Guards against a caller that is cancelled by somebody else's key, a cancel that does nothing, and a cancel that
+// hits a later statement on the same backend connection.
+func TestCancel(t *testing.T) {
+	c := newCluster(t, options{connections: 1, slots: 1, proxies: []string{"p1", "p2"}})
+
+	for _, through := range []string{"p1", "p2"} {
+		t.Run("through "+through, func(t *testing.T) {
+			conn := c.connect("p1", "")
+			started := make(chan struct{})
+			done := make(chan error, 1)
+
+			go func() {
+				close(started)
+
+				_, err := conn.Exec(context30(t), "SELECT pg_sleep(20)")
+				done <- err
+			}()
+
+			<-started
+			eventually(t, "the statement runs", func() bool { return len(c.slots[0]) > 0 })
+
+			wrong := append([]byte(nil), conn.PgConn().SecretKey()...)
+			wrong[0]++
+			c.proxies[through].Cancel(context30(t), conn.PgConn().PID(), wrong)
+
+			select {
+			case err := <-done:
+				t.Fatalf("a wrong key cancelled the statement: %v", err)
+			case <-time.After(20 * time.Millisecond):
+			}
+
+			// The statement may not have reached the server yet; a caller repeats its cancel in that case.
+			require.Eventually(t, func() bool {
+				c.proxies[through].Cancel(context30(t), conn.PgConn().PID(), conn.PgConn().SecretKey())
+
+				select {
+				case err := <-done:
+					done <- err
+
+					return true
+				default:
+					return false
+				}
+			}, patience, 20*time.Millisecond)
+			assert.Equal(t, "57014", stateOf(<-done))
+
+			// The only connection serves the next statement, which must not be cancelled.
+			for range 20 {
+				c.exec(c.connect("p1", ""), "SELECT 1")
+			}
+		})
+	}
+
+	assert.Positive(t, c.forwards.Load())
+}
--- a/io/caller/accept.go
+++ b/io/caller/accept.go
@@ -336,6 +336,8 @@
 
 	if encoded, failure := response.Encode(nil); failure == nil {
 		_, _ = conn.Write(encoded)
+
+		linger(conn)
 	}
 
 	return err
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -42,6 +43,9 @@
 // reader is told from one that has stopped reading.
 const writeStep = 32 << 10
 
+// lingerTime bounds Conn.Linger.
+const lingerTime = time.Second
+
 // Write implements io.Writer.
 func (w *deadlineWriter) Write(data []byte) (int, error) {
 	written := 0
@@ -159,6 +163,21 @@
 	return response
 }
 
+// Linger reads and drops what the caller still sends, for a short time. Without it, closing a connection with unread
+// bytes would reset it, and the caller would lose the error that was sent last.
+func (c *Conn) Linger() {
+	linger(c.net)
+}
+
+func linger(conn net.Conn) {
+	if half, ok := conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+
+	_ = conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // Fatal sends an error after which the connection is closed.
 func (c *Conn) Fatal(err error) {
 	response := Response(err)
