internal/proxy: run named requests at most once

A name whose request was refused went on to the next statement, which was then answered from the record (found by TestNamedRequestThatFailsOrStillRuns); the name now counts for one request. The stand-in honours lock_timeout, which the wait for a name in use needs.

--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"strconv"
 	"strings"
 
@@ -364,11 +365,26 @@
 	return s.caller.Send(&pgproto3.NoData{})
 }
 
-// parameterTypes returns a type for each parameter of the text, for an answer that uses none of them.
+// parameterTypes returns the types of the parameters as far as the caller named them, for an answer that uses none of
+// the values. A type of zero lets the caller choose.
 func (p *prepared) parameterTypes() []uint32 {
+	const countBytes, typeBytes = 2, 4
+
 	types := make([]uint32, statement.Parameters(p.text()))
+	_, given, _ := bytes.Cut(p.body, []byte{0})
+
+	if len(given) < countBytes {
+		return types
+	}
+
+	given = given[countBytes:]
 	for i := range types {
-		types[i] = textOID
+		if len(given) < typeBytes {
+			break
+		}
+
+		types[i] = binary.BigEndian.Uint32(given)
+		given = given[typeBytes:]
 	}
 
 	return types
--- a/internal/proxy/once.go
+++ b/internal/proxy/once.go
@@ -84,8 +84,8 @@
 		return false, x.recordCommit()
 	}
 
-	name := s.request
-	if name == "" || s.status != statusIdle || x.r.class != classWrite || x.r.batch != nil && !x.r.executes {
+	name := x.r.name
+	if name == "" {
 		return false, nil
 	}
 
@@ -103,8 +103,6 @@
 		return false, x.onceFailure(err)
 	}
 
-	s.request = ""
-
 	if recorded != "" {
 		return x.answerRecorded(recorded, explicit)
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -43,6 +43,8 @@
 	batch *batch
 	class class
 	rule  settings.Traffic
+	// name is the name of the request if it may run at most once.
+	name string
 	// executes is true for a batch that runs something and not only prepares it.
 	executes bool
 	deadline time.Time
@@ -116,7 +118,12 @@
 
 	s.server.counters.add(counterRequests)
 
-	if r.rule.Pooling == "session" || s.request != "" && r.class == classRead {
+	if s.status == statusIdle && r.class != classAny && (r.batch == nil || r.executes) {
+		// The name counts for one request, whatever comes of it.
+		r.name, s.request = s.request, ""
+	}
+
+	if r.rule.Pooling == "session" || r.name != "" {
 		// What later statements need is not known, or a record is to be written.
 		r.class = classWrite
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -316,7 +316,7 @@
 
 	if err := s.register(self, accepted.LongSecret); err != nil {
 		s.counters.refused(err)
-		accepted.Conn.Fatal(err)
+		accepted.Conn.Fatal(response(err))
 
 		return
 	}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -225,7 +225,7 @@
 
 func (s *session) fatal(err error) {
 	s.server.counters.refused(err)
-	s.caller.Fatal(err)
+	s.caller.Fatal(response(err))
 }
 
 // message serves one message. Its errors end the session.
--- a/internal/standin/functions.go
+++ b/internal/standin/functions.go
@@ -335,8 +335,8 @@
 			return "", nil
 		}
 
-		return "", e.session.withoutSlot(e.ctx, func() error {
-			return e.server.advisory.lock(e.ctx, e.session, key, transaction)
+		return "", e.session.withoutSlot(e.ctx, func(ctx context.Context) error {
+			return e.server.advisory.lock(ctx, e.session, key, transaction)
 		})
 	}
 }
--- a/internal/standin/session.go
+++ b/internal/standin/session.go
@@ -527,15 +527,25 @@
 	}
 }
 
-// withoutSlot waits for a lock without occupying a slot, since the holder of the lock may need the slot to go on.
-func (s *session) withoutSlot(ctx context.Context, wait func() error) error {
+// withoutSlot waits for a lock without occupying a slot, since the holder of the lock may need the slot to go on. The
+// parameter lock_timeout bounds the wait.
+func (s *session) withoutSlot(ctx context.Context, wait func(ctx context.Context) error) error {
+	limited := ctx
+
+	if period := s.period("lock_timeout"); period > 0 {
+		var cancel context.CancelFunc
+
+		limited, cancel = context.WithTimeoutCause(ctx, period, errLockTimeout)
+		defer cancel()
+	}
+
 	if !s.hasSlot {
-		return wait()
+		return wait(limited)
 	}
 
 	s.releaseSlot()
 
-	if err := wait(); err != nil {
+	if err := wait(limited); err != nil {
 		return err
 	}
 
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -127,9 +127,14 @@
 	return on && err == nil
 }
 
-// timeout returns the statement_timeout; values without a unit are in milliseconds.
+// timeout returns the statement_timeout.
 func (s *session) timeout() time.Duration {
-	value := s.settings.values["statement_timeout"]
+	return s.period("statement_timeout")
+}
+
+// period returns a parameter that is a time span; values without a unit are in milliseconds.
+func (s *session) period(name string) time.Duration {
+	value := s.settings.values[name]
 	if millis, err := strconv.Atoi(value); err == nil {
 		return time.Duration(millis) * time.Millisecond
 	}
--- a/internal/standin/sqlstate.go
+++ b/internal/standin/sqlstate.go
@@ -36,6 +36,7 @@
 	stateDiskFull       = "53100"
 	stateConnections    = "53300"
 	stateNotInState     = "55000"
+	stateLockTimeout    = "55P03"
 	stateCancelled      = "57014"
 	stateTerminated     = "57P01"
 	stateInternal       = "XX000"
@@ -58,9 +59,10 @@
 
 //nolint:gochecknoglobals // Constant errors.
 var (
-	errCancelled  = errorf(stateCancelled, "canceling statement due to user request")
-	errTimeout    = errorf(stateCancelled, "canceling statement due to statement timeout")
-	errTerminated = &sqlError{stateTerminated, "terminating connection due to administrator command", true}
+	errCancelled   = errorf(stateCancelled, "canceling statement due to user request")
+	errTimeout     = errorf(stateCancelled, "canceling statement due to statement timeout")
+	errLockTimeout = errorf(stateLockTimeout, "canceling statement due to lock timeout")
+	errTerminated  = &sqlError{stateTerminated, "terminating connection due to administrator command", true}
 )
 
 //nolint:gochecknoglobals // Constant tables.
--- a/internal/standin/transaction.go
+++ b/internal/standin/transaction.go
@@ -90,7 +90,7 @@
 	}
 
 	if !s.srv.tryLockWriter() {
-		err := s.withoutSlot(ctx, func() error { return s.srv.lockWriter(ctx) })
+		err := s.withoutSlot(ctx, s.srv.lockWriter)
 		if err != nil {
 			return err
 		}
--- a/io/caller/accept.go
+++ b/io/caller/accept.go
@@ -344,7 +344,7 @@
 }
 
 func fatal(caller *Conn, err error) error {
-	caller.Fatal(err)
+	caller.Fatal(Response(err))
 
 	return err
 }
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -179,8 +179,7 @@
 }
 
 // Fatal sends an error after which the connection is closed.
-func (c *Conn) Fatal(err error) {
-	response := Response(err)
+func (c *Conn) Fatal(response *pgproto3.ErrorResponse) {
 	response.Severity, response.SeverityUnlocalized = severityFatal, severityFatal
 
 	c.Drop()
