--- /dev/null
+++ b/core/statement/statement_test.go
@@ -0,0 +1,208 @@
+package statement_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"almondgrade/core/statement"
+)
+
+// Guards against writes that are taken for reads, state that is not noticed, and transaction control that is missed.
+func TestClassify(t *testing.T) {
+	type want struct {
+		kind     statement.Kind
+		name     string
+		readOnly bool
+		pins     bool
+		local    bool
+	}
+
+	tests := []struct {
+		text string
+		want []want
+	}{
+		{"", nil},
+		{" ; -- nothing\n;/* /* nested */ */", nil},
+		{"SELECT 1", []want{{kind: statement.Read}}},
+		{"select 1; SELECT 2;", []want{{kind: statement.Read}, {kind: statement.Read}}},
+		{"(SELECT 1) UNION (SELECT 2)", []want{{kind: statement.Read}}},
+		{"TABLE t", []want{{kind: statement.Read}}},
+		{"VALUES (1)", []want{{kind: statement.Read}}},
+		{"WITH x AS (SELECT 1) SELECT * FROM x", []want{{kind: statement.Read}}},
+		{"WITH x AS (DELETE FROM t RETURNING *) SELECT * FROM x", []want{{kind: statement.Write}}},
+		{"SELECT * INTO n FROM t", []want{{kind: statement.Write}}},
+		{"SELECT * INTO TEMP n FROM t", []want{{kind: statement.Write, pins: true}}},
+		{"SELECT * FROM t FOR UPDATE", []want{{kind: statement.Write}}},
+		{"SELECT * FROM t FOR NO KEY UPDATE", []want{{kind: statement.Write}}},
+		{"SELECT substring(a FOR 3) FROM t", []want{{kind: statement.Read}}},
+		{"SELECT nextval('s')", []want{{kind: statement.Write}}},
+		{"SELECT pg_advisory_lock(1)", []want{{kind: statement.Write, pins: true}}},
+		{`SELECT "pg_advisory_lock"(1)`, []want{{kind: statement.Write, pins: true}}},
+		{"SELECT pg_advisory_xact_lock(1)", []want{{kind: statement.Write}}},
+		{"SELECT set_config('a.b', 'c', false)", []want{{kind: statement.Write, pins: true}}},
+		{"SELECT set_config('a.b', 'c', true)", []want{{kind: statement.Write}}},
+		{"SELECT set_config('a.b', 'c', false and true)", []want{{kind: statement.Write, pins: true}}},
+		{"SELECT set_config()", []want{{kind: statement.Write, pins: true}}},
+		{"SELECT 'DELETE; it''s' , $$INSERT; $$, $a$ $$ ; $a$", []want{{kind: statement.Read}}},
+		{`SELECT E'\'; DELETE'`, []want{{kind: statement.Read}}},
+		{`SELECT '\'; DELETE FROM t`, []want{{kind: statement.Read}, {kind: statement.Write}}},
+		{`SELECT "a;""b"`, []want{{kind: statement.Read}}},
+		{"SELECT $1; DELETE FROM t WHERE a = $2", []want{{kind: statement.Read}, {kind: statement.Write}}},
+		{"SELECT 'open", []want{{kind: statement.Write}}},
+		{"SELECT /* open", []want{{kind: statement.Write}}},
+		{"EXPLAIN DELETE FROM t", []want{{kind: statement.Read}}},
+		{"EXPLAIN ANALYZE SELECT 1", []want{{kind: statement.Read}}},
+		{"EXPLAIN (ANALYZE, VERBOSE) DELETE FROM t", []want{{kind: statement.Write}}},
+		{"EXPLAIN (ANALYZE) WITH x AS (SELECT 1) SELECT 1", []want{{kind: statement.Read}}},
+		{"INSERT INTO t SELECT 1", []want{{kind: statement.Write}}},
+		{"CALL p()", []want{{kind: statement.Write}}},
+		{"DO $$ BEGIN COMMIT; END $$", []want{{kind: statement.Write}}},
+		{"WHATEVER", []want{{kind: statement.Write}}},
+		{"BEGIN", []want{{kind: statement.Begin}}},
+		{"BEGIN READ ONLY", []want{{kind: statement.Begin, readOnly: true}}},
+		{"BEGIN READ ONLY, READ WRITE", []want{{kind: statement.Begin}}},
+		{"START TRANSACTION ISOLATION LEVEL SERIALIZABLE, READ ONLY", []want{{kind: statement.Begin, readOnly: true}}},
+		{"BEGIN; INSERT INTO t VALUES (1); COMMIT", []want{{kind: statement.Begin}, {kind: statement.Write}, {kind: statement.Commit}}},
+		{"END", []want{{kind: statement.Commit}}},
+		{"ABORT", []want{{kind: statement.Rollback}}},
+		{"ROLLBACK WORK", []want{{kind: statement.Rollback}}},
+		{"COMMIT PREPARED 'x'", []want{{kind: statement.Write}}},
+		{"ROLLBACK PREPARED 'x'", []want{{kind: statement.Write}}},
+		{"SAVEPOINT a", []want{{kind: statement.Savepoint, name: "a"}}},
+		{"RELEASE SAVEPOINT A", []want{{kind: statement.Release, name: "a"}}},
+		{`ROLLBACK TO SAVEPOINT "A"`, []want{{kind: statement.RollbackTo, name: "A"}}},
+		{"SET work_mem = '1MB'", []want{{kind: statement.Set, name: "work_mem"}}},
+		{"SET SESSION Work_Mem TO 100", []want{{kind: statement.Set, name: "work_mem"}}},
+		{"SET LOCAL work_mem TO 100", []want{{kind: statement.Set, name: "work_mem", local: true}}},
+		{"SET search_path = a, b", []want{{kind: statement.Set, name: "search_path"}}},
+		{"SET TIME ZONE 'UTC'", []want{{kind: statement.Set, name: "timezone"}}},
+		{"SET NAMES 'UTF8'", []want{{kind: statement.Set, name: "client_encoding"}}},
+		{"SET work_mem TO DEFAULT", []want{{kind: statement.Reset, name: "work_mem"}}},
+		{"SET ROLE admin", []want{{kind: statement.Write, pins: true}}},
+		{"SET role = admin", []want{{kind: statement.Write, pins: true}}},
+		{"SET SESSION AUTHORIZATION x", []want{{kind: statement.Write, pins: true}}},
+		{"SET TRANSACTION READ ONLY", []want{{kind: statement.Write}}},
+		{"SET almondgrade.token = 'x'", []want{{kind: statement.Set, name: "almondgrade.token"}}},
+		{"SHOW almondgrade.outcome", []want{{kind: statement.Show, name: "almondgrade.outcome"}}},
+		{"RESET ALL", []want{{kind: statement.Reset, name: "all"}}},
+		{"RESET ROLE", []want{{kind: statement.Write, pins: true}}},
+		{"DISCARD ALL", []want{{kind: statement.Discard, name: "all"}}},
+		{"DEALLOCATE PREPARE x", []want{{kind: statement.Deallocate, name: "x"}}},
+		{"PREPARE x AS SELECT 1", []want{{kind: statement.Write, pins: true}}},
+		{"PREPARE TRANSACTION 'x'", []want{{kind: statement.Write}}},
+		{"LISTEN x", []want{{kind: statement.Write, pins: true}}},
+		{"CREATE TEMP TABLE x (a int)", []want{{kind: statement.Write, pins: true}}},
+		{"CREATE OR REPLACE LOCAL TEMPORARY VIEW x AS SELECT 1", []want{{kind: statement.Write, pins: true}}},
+		{"DECLARE c CURSOR WITH HOLD FOR SELECT 1", []want{{kind: statement.Write, pins: true}}},
+		{"COPY t FROM STDIN", []want{{kind: statement.Copy}}},
+		{"COPY t FROM '/file'", []want{{kind: statement.Write}}},
+		{"COPY t (a, b) TO STDOUT", []want{{kind: statement.CopyOut}}},
+		{"COPY (SELECT a FROM t) TO STDOUT", []want{{kind: statement.CopyOut}}},
+		{"COPY (DELETE FROM t RETURNING *) TO STDOUT", []want{{kind: statement.Write}}},
+		{"CREATE FUNCTION f() RETURNS int BEGIN ATOMIC SELECT 1; SELECT CASE WHEN true THEN 1 END; END; SELECT 1", []want{{kind: statement.Write}, {kind: statement.Read}}},
+	}
+
+	for _, test := range tests {
+		t.Run(test.text, func(t *testing.T) {
+			got := statement.Classify(test.text)
+			require.Len(t, got, len(test.want))
+
+			for i, one := range got {
+				assert.Equal(t, test.want[i].kind, one.Kind, "kind of %q", one.Text)
+				assert.Equal(t, test.want[i].readOnly, one.ReadOnly)
+				assert.Equal(t, test.want[i].pins, one.Pins, "pins")
+				assert.Equal(t, test.want[i].local, one.Local)
+
+				if test.want[i].name != "" {
+					assert.Equal(t, test.want[i].name, one.Name)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a number of parameters that is counted inside constants.
+func TestParameters(t *testing.T) {
+	assert.Equal(t, 2, statement.Parameters("SELECT $2, $1, '$3', $$ $4 $$ -- $5"))
+	assert.Zero(t, statement.Parameters("SELECT $99999999999999999999"))
+}
+
+// fragment is a statement whose kind is known, in a form that may hold anything but its own end.
+type fragment struct {
+	text string
+	kind statement.Kind
+}
+
+func drawFragment(t *rapid.T) fragment {
+	known := []fragment{
+		{"SELECT", statement.Read}, {"INSERT INTO t SELECT", statement.Write}, {"EXPLAIN SELECT", statement.Read},
+		{"DELETE FROM t WHERE a =", statement.Write}, {"VALUES", statement.Read}, {"VACUUM", statement.Write},
+	}
+	// Each of these is one value or comment, whatever it holds.
+	harmless := rapid.SampledFrom([]string{
+		"1", "'a;b'", "'it''s; DELETE'", `"x;y"`, `E'\';'`, "$$;COMMIT;$$", "$q$;'$q$", "/* ; DELETE */ 2", "-- ; INSERT\n3", "U&'x;'",
+		"$1", "a.b", "1e5", "(1)", "B'01'",
+	})
+	chosen := rapid.SampledFrom(known).Draw(t, "known")
+
+	for range rapid.IntRange(1, 5).Draw(t, "values") {
+		chosen.text += rapid.SampledFrom([]string{" ", "\n", "\t", " /* c */ "}).Draw(t, "space") + harmless.Draw(t, "value")
+	}
+
+	return chosen
+}
+
+// Guards against constants and comments that change where a statement ends or what it is. The naive version is the
+// list that the text was built from.
+func TestClassifyFindsWhatWasJoined(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var (
+			texts []string
+			kinds []statement.Kind
+		)
+
+		for range rapid.IntRange(0, 6).Draw(t, "statements") {
+			one := drawFragment(t)
+			texts = append(texts, one.text)
+			kinds = append(kinds, one.kind)
+		}
+
+		separator := rapid.SampledFrom([]string{";", ";;", " ; ", ";/* ; */"}).Draw(t, "separator")
+		got := statement.Classify(strings.Join(texts, separator))
+		require.Len(t, got, len(kinds))
+
+		for i := range got {
+			require.Equal(t, kinds[i], got[i].Kind, got[i].Text)
+		}
+	})
+}
+
+// Guards against bytes that stop the lexer, and against a text that means something else once it was split.
+func FuzzClassify(f *testing.F) {
+	for _, seed := range []string{
+		"", ";", "SELECT 1; DELETE FROM t", "'", `"`, "$", "$$", "$a$", "/*", "--", "E'", "U&\"", "SET a", "SET a = ", "SET LOCAL",
+		"SET SESSION", "ROLLBACK TO", "RELEASE", "EXPLAIN (", "COPY (", "BEGIN READ", "SELECT set_config(true)", "SELECT set_config(,true)",
+		"\x00\xff", "CREATE FUNCTION f BEGIN ATOMIC ; END", "DEALLOCATE", "DEALLOCATE PREPARE", "DECLARE x WITH HOLD", "SHOW",
+	} {
+		f.Add(seed)
+	}
+
+	f.Fuzz(func(t *testing.T, text string) {
+		for _, one := range statement.Classify(text) {
+			if one.Text == "" || !strings.Contains(text, one.Text) {
+				t.Fatalf("statement %q is not part of the text", one.Text)
+			}
+
+			again := statement.Classify(one.Text)
+			if len(again) != 1 || again[0].Kind != one.Kind || again[0].Pins != one.Pins {
+				t.Fatalf("%q is %+v within the text and %+v alone", one.Text, one, again)
+			}
+		}
+
+		statement.Parameters(text)
+	})
+}
