--- a/io/caller/accept.go
+++ b/io/caller/accept.go
@@ -336,13 +336,15 @@
 
 	if encoded, failure := response.Encode(nil); failure == nil {
 		_, _ = conn.Write(encoded)
+
+		linger(conn)
 	}
 
 	return err
 }
 
 func fatal(caller *Conn, err error) error {
-	caller.Fatal(err)
+	caller.Fatal(Response(err))
 
 	return err
 }
