--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -152,11 +152,19 @@
 
 // Connection implements proxy.Coordination.
 func (c *Coordination) Connection(ctx context.Context, server string, urgent bool) (proxy.Permit, error) {
+	granted, err := c.acquire(ctx, server, permit.Connection, urgent)
+	if err != nil {
+		return nil, err
+	}
+
+	// Asked after the wait, because the permit of a proxy without its lease may have been taken back.
 	if !c.Confirmed() {
+		granted.Release()
+
 		return nil, result.New(result.Unconfirmed, "the proxy opens no connection without its configuration lease")
 	}
 
-	return c.acquire(ctx, server, permit.Connection, urgent)
+	return granted, nil
 }
 
 // Slot implements proxy.Coordination.
--- a/internal/coordination/direct.go
+++ b/internal/coordination/direct.go
@@ -4,9 +4,7 @@
 	"context"
 	"time"
 
-	"almondgrade/core/permit"
 	"almondgrade/core/registry"
-	"almondgrade/core/result"
 	"almondgrade/internal/coordinator"
 )
 
@@ -60,11 +58,7 @@
 func (l *link) openPermitted(
 	ctx context.Context, server registry.Server, application string,
 ) (coordinator.Admin, error) {
-	if !l.owner.Confirmed() {
-		return nil, result.New(result.Unconfirmed, "the proxy opens no connection without its configuration lease")
-	}
-
-	held, err := l.acquire(ctx, server.Name, permit.Connection, true)
+	held, err := l.owner.Connection(ctx, server.Name, true)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/coordination/link.go
+++ b/internal/coordination/link.go
@@ -32,7 +32,14 @@
 	// to is the coordinator in the given epoch, nil while none is known.
 	to    target
 	epoch uint64
-	slots time.Duration
+	// registration counts the changes of epoch, host and number. An answer to a question of an earlier one is worth
+	// nothing, because the coordinator may have taken the permit back since.
+	registration uint64
+	// host is the instance of the coordinating proxy: a restarted one has to be told the permits again.
+	host uint64
+	// number is what control gave to this proxy when it joined. It changes when the proxy was taken for gone.
+	number uint32
+	slots  time.Duration
 	// reported is true once the coordinator of the epoch took a report of the held permits.
 	reported bool
 	// reachable is false after a call found no answer, until another one did.
@@ -289,7 +296,11 @@
 		l.direct.Update()
 	}
 
-	if group.Epoch == l.epoch && l.to != nil || group.Coordinator == "" {
+	number := view.Proxies[l.owner.options.Name].Number
+	host := view.Proxies[group.Coordinator].Instance
+	same := group.Epoch == l.epoch && host == l.host && number == l.number && l.to != nil
+
+	if same || group.Coordinator == "" {
 		return
 	}
 
@@ -298,14 +309,29 @@
 		l.owner.options.Logger.Warn("coordinator is unknown", "group", l.group, "error", err)
 	}
 
-	if group.Epoch != l.epoch {
-		l.reported = false
-		l.discardSpare()
-	}
+	l.reported = false
+	l.discardSpare()
 
+	l.registration++
+	l.host, l.number = host, number
 	l.to, l.epoch, l.reachable, l.failing = to, group.Epoch, to != nil, time.Time{}
 
-	go l.introduce(group.Epoch)
+	go l.introduce(l.registration)
+}
+
+// current reports whether spare permits may be used: the coordinator knows of them, and the epoch has not ended and
+// control has not taken this proxy for gone since then. It asks the view itself, because the link may not have
+// taken over the latest one. The mutex is held.
+func (l *link) current() bool {
+	view := l.owner.View()
+	if !l.reported || view == nil {
+		return false
+	}
+
+	group := view.Groups[l.group]
+
+	return group.Epoch == l.epoch && view.Proxies[group.Coordinator].Instance == l.host &&
+		view.Proxies[l.owner.options.Name].Number == l.number
 }
 
 // locate returns the coordinator of a group.
@@ -333,13 +359,13 @@
 	return remote{client: client, group: l.group, epoch: group.Epoch}, nil
 }
 
-// introduce reports the held permits until the coordinator of an epoch took a report.
-func (l *link) introduce(epoch uint64) {
+// introduce reports the held permits until the coordinator of a registration took a report.
+func (l *link) introduce(registration uint64) {
 	for backoff := leastBackoff; ; backoff = min(2*backoff, mostBackoff) {
 		_, _ = l.reports.Do(l.context)
 
 		l.mutex.Lock()
-		done := l.reported || l.epoch != epoch || !l.reachable
+		done := l.reported || l.registration != registration || !l.reachable
 		l.mutex.Unlock()
 
 		if done {
@@ -365,7 +391,7 @@
 
 // report is one report.
 func (l *link) report(parent context.Context) (struct{}, error) {
-	made, to, epoch := l.snapshot()
+	made, to, registration := l.snapshot()
 	if to == nil {
 		return struct{}{}, nil
 	}
@@ -378,7 +404,7 @@
 
 	l.mutex.Lock()
 
-	if l.epoch == epoch {
+	if l.registration == registration {
 		switch {
 		case err == nil:
 			l.reported = true
@@ -398,6 +424,7 @@
 	return struct{}{}, err
 }
 
+// snapshot returns the content of a report, its receiver and the present registration.
 func (l *link) snapshot() (report, target, uint64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -415,7 +442,7 @@
 			permit.Held{Number: number, Kind: grant.kind, Pending: grant.pending})
 	}
 
-	return made, l.to, l.epoch
+	return made, l.to, l.registration
 }
 
 func (l *link) holder() permit.Holder {
--- a/internal/coordination/pool.go
+++ b/internal/coordination/pool.go
@@ -127,7 +127,7 @@
 	l.used = now
 	p := l.pool(poolKey{server, kind})
 
-	if last := len(p.spare) - 1; last >= 0 {
+	if last := len(p.spare) - 1; last >= 0 && l.current() {
 		taken := p.spare[last]
 		p.spare = p.spare[:last]
 
@@ -212,7 +212,7 @@
 	asked := &grant{number: l.next, server: key.server, kind: key.kind, pending: true}
 	l.next++
 	l.held[asked.number] = asked
-	to, epoch := l.to, l.epoch
+	to, registration := l.to, l.registration
 
 	l.mutex.Unlock()
 
@@ -226,17 +226,14 @@
 	defer l.mutex.Unlock()
 
 	switch {
-	case err == nil && l.epoch == epoch:
+	case err == nil && l.registration == registration && l.current():
 		asked.pending = false
 		l.reachable = true
 
 		return asked, nil
 	case err == nil:
-		// The coordinator of an older epoch granted it; the present one does not know of it.
-		delete(l.held, asked.number)
-
-		return nil, result.New(result.OutdatedEpoch, "the coordinator changed")
-	case result.CodeOf(err) == result.OutdatedEpoch && l.epoch == epoch:
+		err = result.New(result.OutdatedEpoch, "the coordinator changed")
+	case result.CodeOf(err) == result.OutdatedEpoch && l.registration == registration:
 		l.reported = false
 	case result.CodeOf(err) == result.OK && ctx.Err() == nil:
 		l.reachable = false
@@ -287,7 +284,7 @@
 	p := l.pool(poolKey{released.server, released.kind})
 
 	switch {
-	case !l.reported || l.context.Err() != nil:
+	case !l.current() || l.context.Err() != nil:
 		l.giveBack(released)
 	case p.owed > 0 && now.Before(p.owedUntil) && l.reachable:
 		p.owed--
--- a/internal/coordinator/barrier.go
+++ b/internal/coordinator/barrier.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
+	"almondgrade/core/container"
 	"almondgrade/core/position"
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
@@ -198,9 +198,9 @@
 
 	votes := make(chan vote, len(state.members))
 
-	for _, name := range voters(state.group) {
+	for name := range voters(state) {
 		member, found := state.members[name]
-		if !found || name == state.group.Primary {
+		if !found {
 			continue
 		}
 
@@ -217,12 +217,12 @@
 		}()
 	}
 
-	var holders []string
-
 	var last error
 
+	followers := container.NewSet[string]()
+
 	for {
-		if commitQuorum(state.group, func(server string) bool { return slices.Contains(holders, server) }) {
+		if commitQuorum(state.group, followers) {
 			return nil
 		}
 
@@ -238,7 +238,7 @@
 			if vote.err != nil {
 				last = vote.err
 			} else {
-				holders = append(holders, vote.server)
+				followers.Add(vote.server)
 			}
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/coordinator/confirm.go
+++ b/internal/coordinator/confirm.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"almondgrade/core/container"
 	"almondgrade/core/position"
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
@@ -193,13 +194,11 @@
 	}
 
 	flushed := flushedBy(sight, state.group.Term)
+	counted := voters(state)
 
 	for waiting := range c.waiting {
-		if waiting.targeted && waiting.term == state.group.Term && commitQuorum(state.group, func(server string) bool {
-			at, found := flushed[server]
-
-			return found && at >= waiting.target
-		}) {
+		if waiting.targeted && waiting.term == state.group.Term &&
+			commitQuorum(state.group, holding(counted, flushed, waiting.target)) {
 			c.settle(waiting, nil)
 		}
 	}
@@ -224,3 +223,18 @@
 
 	return flushed
 }
+
+// holding returns the counted replicas that have flushed a position.
+func holding(
+	counted container.Set[string], flushed map[string]position.LSN, target position.LSN,
+) container.Set[string] {
+	holders := container.NewSet[string]()
+
+	for name, at := range flushed {
+		if counted.Has(name) && at >= target {
+			holders.Add(name)
+		}
+	}
+
+	return holders
+}
--- a/internal/coordinator/quorum.go
+++ b/internal/coordinator/quorum.go
@@ -1,34 +1,37 @@
 package coordinator
 
 import (
-	"slices"
-
+	"almondgrade/core/container"
+	"almondgrade/core/failover"
 	"almondgrade/core/registry"
 )
 
-// commitQuorum reports whether servers that hold, together with the primary, make a commit quorum: n/2+1 of the
-// members, and of the previous members while a change of members is not in force everywhere.
-func commitQuorum(group registry.Group, holds func(server string) bool) bool {
-	return listQuorum(group.Primary, group.Members, holds) &&
-		(len(group.Previous) == 0 || listQuorum(group.Primary, group.Previous, holds))
+// commitQuorum reports whether the replicas make, together with the primary, a commit quorum of the members, and of
+// the previous members while a change of members is not in force everywhere.
+func commitQuorum(group registry.Group, replicas container.Set[string]) bool {
+	holders := container.NewSet(group.Primary)
+	for replica := range replicas {
+		holders.Add(replica)
+	}
+
+	return failover.Committed(group.Members, holders) && failover.Committed(group.Previous, holders)
 }
 
-func listQuorum(primary string, members []string, holds func(server string) bool) bool {
-	count := 0
+// voters returns the replicas that quorums of a group count. A server that came back with another identity has lost
+// what it held and does not count until control has taken it in again.
+func voters(state *state) container.Set[string] {
+	counted := container.NewSet[string]()
+
+	for _, list := range [][]string{state.group.Members, state.group.Previous} {
+		for _, name := range list {
+			server, found := state.servers[name]
+			identity, recorded := state.group.Identities[name]
 
-	for _, member := range members {
-		if member == primary || holds(member) {
-			count++
+			if found && name != state.group.Primary && (!recorded || identity == server.Identity) {
+				counted.Add(name)
+			}
 		}
 	}
 
-	return count >= len(members)/2+1
-}
-
-// voters returns the servers that quorums of a group count, without duplicates.
-func voters(group registry.Group) []string {
-	all := slices.Concat(group.Members, group.Previous)
-	slices.Sort(all)
-
-	return slices.Compact(all)
+	return counted
 }
