internal/coordination: test coordination over stand-ins

Barriers, confirmations, fencing, direct operation, silent connections, suspicion, ages, slots, connections, a new epoch and cancel requests run against stand-ins with the proxies in one process.

--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -102,10 +102,10 @@
 	peer.Register(registrar, &service{owner: c})
 }
 
-// Application returns the application name that the pool's connections to backend servers have to carry, so that the
-// permits of a dead proxy return.
+// Application returns the beginning of the application name that connections to backend servers have to carry, such as
+// "ag/p1/00000000000000a7/". With it the permits of a dead process return, although another one of the same name runs.
 func (c *Coordination) Application() string {
-	return coordinator.Application(c.options.Name, c.options.Instance, coordinator.KindPool)
+	return coordinator.Application(c.options.Name, c.options.Instance, "")
 }
 
 // View implements proxy.Coordination.
@@ -214,11 +214,11 @@
 		return result.New(result.NotFound, "the proxy has no view yet")
 	}
 
-	failed := error(result.New(result.NotFound, "no proxy has the number %d", process>>ProcessBits))
+	failed := error(result.New(result.NotFound, "no proxy has the number %d", process>>processBits))
 
 	// The key holds only the lower bits of the number, which several proxies may share. The secret decides.
 	for _, other := range view.Proxies {
-		if other.Number&numberMask != process>>ProcessBits || other.Name == c.options.Name {
+		if other.Number&numberMask != process>>processBits || other.Name == c.options.Name {
 			continue
 		}
 
--- /dev/null
+++ b/internal/coordination/coordination_test.go
@@ -0,0 +1,384 @@
+package coordination_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondgrade/core/position"
+	"almondgrade/core/registry"
+	"almondgrade/core/result"
+	"almondgrade/internal/proxy"
+	"almondgrade/io/backend"
+)
+
+// TestBarrierCoversWrites guards against a barrier behind a write that was committed before it, both on the
+// coordinating proxy and on another one.
+func TestBarrierCoversWrites(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 3, slots: 5, connections: 20, proxies: []string{"p1", "p2"}})
+	c.exec(0, "CREATE TABLE t (a int)")
+
+	for _, name := range []string{"p1", "p2"} {
+		for range 5 {
+			c.exec(0, "INSERT INTO t VALUES (1)")
+			end := c.written(0)
+
+			barrier, err := c.proxies[name].Barrier(deadline(t), groupName)
+			require.NoError(t, err)
+			assert.Equal(t, position.Term(1), barrier.Position.Term)
+			assert.GreaterOrEqual(t, barrier.Position.LSN, end)
+			assert.Len(t, barrier.Observations, 3)
+		}
+	}
+}
+
+// TestConfirmWaitsForQuorum guards against a write that is acknowledged before a commit quorum holds it, and against
+// one that is never acknowledged although a quorum does.
+func TestConfirmWaitsForQuorum(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 3, slots: 5, connections: 20, proxies: []string{"p1", "p2"}})
+	c.exec(0, "CREATE TABLE t (a int)")
+
+	for _, name := range []string{"p1", "p2"} {
+		at, err := c.proxies[name].Confirm(deadline(t), groupName, 1, false)
+		require.NoError(t, err)
+		assert.GreaterOrEqual(t, at.LSN, position.LSN(1))
+	}
+
+	c.members[1].Freeze()
+	c.exec(0, "INSERT INTO t VALUES (1)")
+
+	end := c.written(0)
+	at, err := c.proxies["p2"].Confirm(deadline(t), groupName, 1, false)
+	require.NoError(t, err, "one replica suffices")
+	assert.GreaterOrEqual(t, at.LSN, end)
+
+	c.members[2].Freeze()
+	c.exec(0, "INSERT INTO t VALUES (2)")
+
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+
+	_, err = c.proxies["p2"].Confirm(ctx, groupName, 1, false)
+	require.Error(t, err)
+	assert.Equal(t, result.NotConfirmed, result.CodeOf(err))
+
+	c.members[2].Thaw()
+
+	_, err = c.proxies["p2"].Confirm(deadline(t), groupName, 1, false)
+	require.NoError(t, err)
+}
+
+// TestFencedReplicasStopBarriers guards against a barrier or a confirmation by a primary that may have been replaced.
+func TestFencedReplicasStopBarriers(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 3, slots: 5, connections: 20, proxies: []string{"p1", "p2"}})
+	_, err := c.proxies["p2"].Barrier(deadline(t), groupName)
+	require.NoError(t, err)
+
+	for _, index := range []int{1, 2} {
+		c.admin(index, func(ctx context.Context, admin *backend.Admin) error {
+			_, err := admin.Fence(ctx, memberName(index), 1)
+
+			return err
+		})
+	}
+
+	for _, unreplaced := range []bool{false, true} {
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		_, err = c.proxies["p2"].Confirm(ctx, groupName, 1, unreplaced)
+
+		cancel()
+		assert.Equal(t, result.NotConfirmed, result.CodeOf(err), "%v", err)
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+
+	_, err = c.proxies["p2"].Barrier(ctx, groupName)
+	assert.Equal(t, result.NoPrimary, result.CodeOf(err), "%v", err)
+
+	// The first replica becomes the primary of the next term.
+	begin := c.promote(1, 2)
+	c.admin(2, func(ctx context.Context, admin *backend.Admin) error {
+		return admin.Attach(ctx, memberName(2), 2, c.members[1].Addr())
+	})
+	c.change(func(_ *registry.View, group *registry.Group) {
+		group.Term, group.Primary = 2, memberName(1)
+		group.History = position.NewHistory(position.Begin{Term: 1}, position.Begin{Term: 2, LSN: begin})
+	})
+
+	barrier, err := c.proxies["p2"].Barrier(deadline(t), groupName)
+	require.NoError(t, err)
+	assert.Equal(t, position.Term(2), barrier.Position.Term)
+
+	_, err = c.proxies["p2"].Confirm(deadline(t), groupName, 1, false)
+	assert.Equal(t, result.PrimaryReplaced, result.CodeOf(err), "%v", err)
+}
+
+// TestSingleMember guards against a group of one member that waits for replicas.
+func TestSingleMember(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 1, slots: 5, connections: 20, proxies: []string{"p1"}})
+	_, err := c.proxies["p1"].Barrier(deadline(t), groupName)
+	require.NoError(t, err)
+
+	for _, unreplaced := range []bool{false, true} {
+		_, err = c.proxies["p1"].Confirm(deadline(t), groupName, 1, unreplaced)
+		require.NoError(t, err)
+	}
+}
+
+// TestDirectWithoutCoordinator guards against a proxy that stops working because the coordinator is dead. It needs
+// permits that it got before.
+func TestDirectWithoutCoordinator(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 3, slots: 5, connections: 20, proxies: []string{"p1", "p2"}})
+	p2 := c.proxies["p2"]
+
+	var held []proxy.Permit
+
+	for i := range 3 {
+		granted, err := p2.Connection(deadline(t), memberName(i), false)
+		require.NoError(t, err)
+
+		held = append(held, granted)
+	}
+
+	c.proxies["p1"].stop()
+
+	// The pool gives up idle connections when it is asked.
+	go func() {
+		released := make(map[string]bool)
+
+		for server := range p2.recalled {
+			for i := range held {
+				if memberName(i) == server && !released[server] {
+					released[server] = true
+					held[i].Release()
+				}
+			}
+		}
+	}()
+	defer close(p2.recalled)
+
+	_, err := p2.Barrier(deadline(t), groupName)
+	require.NoError(t, err)
+
+	_, err = p2.Confirm(deadline(t), groupName, 1, false)
+	require.NoError(t, err)
+}
+
+// TestSilentConnections guards against a coordinator that takes lost connections for a dead server.
+func TestSilentConnections(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 3, slots: 5, connections: 20, proxies: []string{"p1"}})
+	p1 := c.proxies["p1"]
+
+	_, err := p1.Barrier(deadline(t), groupName)
+	require.NoError(t, err)
+
+	lost := 0
+
+	for range 3 {
+		for _, member := range c.members {
+			lost += member.LoseConnections()
+		}
+
+		_, err = p1.Barrier(deadline(t), groupName)
+		require.NoError(t, err)
+	}
+
+	assert.Positive(t, lost, "no connection was lost")
+	assert.Zero(t, p1.suspects.Load(), "a server that answers new connections was suspected")
+}
+
+// TestSuspect guards against a dead primary that nobody reports.
+func TestSuspect(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 3, slots: 5, connections: 20, proxies: []string{"p1"}})
+	require.NoError(t, c.members[0].Stop())
+	eventually(t, "the primary is suspected", func() bool { return c.proxies["p1"].suspects.Load() > 0 })
+}
+
+// TestObservations guards against replicas that are never seen as fresh, and against the age of a lagging one that
+// does not grow.
+func TestObservations(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 3, slots: 5, connections: 20, proxies: []string{"p1", "p2"}})
+	c.exec(0, "CREATE TABLE t (a int)")
+
+	p2 := c.proxies["p2"]
+	age := func(server string) time.Duration {
+		_, err := p2.Barrier(deadline(t), groupName)
+		require.NoError(t, err)
+
+		for _, seen := range p2.Observations(groupName) {
+			if seen.Server == server && seen.Reachable {
+				return seen.Age
+			}
+		}
+
+		return time.Hour
+	}
+
+	eventually(t, "the replica is fresh", func() bool { return age(memberName(1)) < 10*time.Second })
+
+	c.members[1].SetLag(time.Hour)
+	c.exec(0, "INSERT INTO t VALUES (1)")
+	eventually(t, "the lagging replica gets old", func() bool {
+		return age(memberName(1)) > 100*time.Millisecond && age(memberName(2)) < age(memberName(1))
+	})
+
+	p2.Failed(memberName(2))
+
+	for _, seen := range p2.Observations(groupName) {
+		assert.False(t, seen.Server == memberName(2) && seen.Reachable, "a failed server is offered")
+	}
+}
+
+// TestSlotsAreShared guards against more statements than slots over several proxies, and against a waiter that is not
+// served although another proxy only caches a permit.
+func TestSlotsAreShared(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 1, slots: 2, connections: 20, proxies: []string{"p1", "p2", "p3"}})
+	server := memberName(0)
+
+	var running, most, done atomicMax
+
+	work := func(p *process) error {
+		for range 50 {
+			granted, err := p.Slot(deadline(t), server, false)
+			if err != nil {
+				return err
+			}
+
+			most.raise(running.add(1))
+			running.add(-1)
+			granted.Release()
+			done.add(1)
+		}
+
+		return nil
+	}
+
+	errors := make(chan error, 9)
+
+	for _, p := range c.proxies {
+		for range 3 {
+			go func() { errors <- work(p) }()
+		}
+	}
+
+	for range 9 {
+		require.NoError(t, <-errors)
+	}
+
+	assert.LessOrEqual(t, most.value(), int64(2))
+	assert.Equal(t, int64(450), done.value())
+}
+
+// TestConnectionLimit guards against more connections than the limit less the reserve, and against a full server that
+// keeps waiters until they time out although a holder gives a permit back.
+func TestConnectionLimit(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 1, slots: 2, connections: 5, proxies: []string{"p1", "p2"}})
+	server := memberName(0)
+
+	var held []proxy.Permit
+
+	for range 3 {
+		granted, err := c.proxies["p1"].Connection(deadline(t), server, false)
+		require.NoError(t, err)
+
+		held = append(held, granted)
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+
+	_, err := c.proxies["p2"].Connection(ctx, server, true)
+	assert.Equal(t, result.NoPermit, result.CodeOf(err), "%v", err)
+
+	waiting := make(chan error, 1)
+
+	go func() {
+		_, err := c.proxies["p2"].Connection(deadline(t), server, false)
+		waiting <- err
+	}()
+
+	assert.Equal(t, server, <-c.proxies["p1"].recalled, "the holder is asked for idle connections")
+	held[0].Release()
+	held[0].Release()
+	require.NoError(t, <-waiting)
+}
+
+// TestNewEpoch guards against a new coordinator that grants what is held already, and against permits that are lost
+// with the old one.
+func TestNewEpoch(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 1, slots: 2, connections: 6, proxies: []string{"p1", "p2", "p3"}})
+	server := memberName(0)
+
+	var held []proxy.Permit
+
+	for _, name := range []string{"p2", "p2", "p3"} {
+		granted, err := c.proxies[name].Connection(deadline(t), server, false)
+		require.NoError(t, err)
+
+		held = append(held, granted)
+	}
+
+	c.proxies["p1"].stop()
+	c.change(func(view *registry.View, group *registry.Group) {
+		delete(view.Proxies, "p1")
+
+		group.Coordinator, group.Epoch = "p2", 2
+	})
+
+	last, err := c.proxies["p3"].Connection(deadline(t), server, false)
+	require.NoError(t, err)
+
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+
+	_, err = c.proxies["p2"].Connection(ctx, server, false)
+	assert.Equal(t, result.NoPermit, result.CodeOf(err), "%v", err)
+
+	for _, granted := range append(held, last) {
+		granted.Release()
+	}
+
+	for range 4 {
+		_, err = c.proxies["p3"].Connection(deadline(t), server, false)
+		require.NoError(t, err)
+	}
+}
+
+// TestCancelIsForwarded guards against cancel requests that reach no proxy or the wrong one.
+func TestCancelIsForwarded(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 1, slots: 2, connections: 6, proxies: []string{"p1", "p2"}})
+	require.NoError(t, c.proxies["p1"].ForwardCancel(deadline(t), 2<<16|5, []byte("secret")))
+	assert.Equal(t, int64(1), c.proxies["p2"].cancels.Load())
+	assert.Zero(t, c.proxies["p1"].cancels.Load())
+
+	err := c.proxies["p1"].ForwardCancel(deadline(t), 9<<16|5, []byte("secret"))
+	assert.Equal(t, result.NotFound, result.CodeOf(err))
+}
--- a/internal/coordination/options.go
+++ b/internal/coordination/options.go
@@ -73,13 +73,12 @@
 	roundWidth = 4
 )
 
-// ProcessBits is the number of lower bits of a cancel key's process id that number the session; the upper bits
-// number the proxy. The topmost bit stays zero, because drivers
-// take the process id for a signed number.
-const ProcessBits = 20
-
-// numberMask selects the part of a proxy's number that a cancel key holds.
-const numberMask = 1<<(31-ProcessBits) - 1
+// processBits is the number of lower bits of a cancel key's process id that number the session; the upper bits hold
+// the lower bits of the proxy's number.
+const (
+	processBits = 16
+	numberMask  = 1<<16 - 1
+)
 
 func (o Options) withDefaults() Options {
 	if o.Logger == nil {
--- a/internal/coordinator/application.go
+++ b/internal/coordinator/application.go
@@ -14,7 +14,6 @@
 	KindMonitor = "monitor"
 	KindProbe   = "probe"
 	KindDirect  = "direct"
-	KindPool    = "pool"
 )
 
 const (
@@ -26,7 +25,8 @@
 )
 
 // Application returns the application name of a proxy's connection to a backend server: ag/PROXY/INSTANCE/KIND, with
-// the instance as 16 hexadecimal digits. The instance tells the connections of a process from those that an earlier
+// the instance as 16 hexadecimal digits. KIND is one of the words above or anything else for a connection that holds a
+// permit. The instance tells the connections of a process from those that an earlier
 // process of the same name left behind.
 func Application(proxy string, instance uint64, kind string) string {
 	return fmt.Sprintf("%s/%s/%016x/%s", applicationPrefix, proxy, instance, kind)
