--- /dev/null
+++ b/core/admission/queue.go
@@ -0,0 +1,211 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"almondgrade/core/result"
+)
+
+// Class is the class of a request.
+type Class uint8
+
+// The classes, in order of precedence.
+const (
+	Urgent Class = iota
+	Routine
+	classes
+)
+
+const (
+	// urgentStreak is the number of urgent requests in a row after which one routine request is started.
+	urgentStreak = 7
+	// meanWeight is the weight of one running time in the moving mean, as a divisor.
+	meanWeight = 16
+)
+
+// Limits bound a queue.
+type Limits struct {
+	// Running is the number of requests that run at once.
+	Running int
+	// Waiting is the number of requests of each class that wait.
+	Waiting int
+}
+
+// Item is a request.
+type Item[T comparable] struct {
+	Value T
+	Class Class
+	// Deadline is the time by which the request has to start. The zero time is none.
+	Deadline time.Time
+}
+
+// Decision is the answer to an offer: the request runs, waits (neither Run nor a code), or is refused with a code.
+type Decision struct {
+	Run  bool
+	Code result.Code
+	// Wait is the expected wait.
+	Wait time.Duration
+}
+
+// Queue holds waiting requests. Values must be distinct.
+type Queue[T comparable] struct {
+	limits  Limits
+	waiting [classes][]Item[T]
+	running int
+	streak  int
+	// mean is the moving mean of the running times.
+	mean time.Duration
+}
+
+// New returns an empty queue.
+func New[T comparable](limits Limits) *Queue[T] {
+	return &Queue[T]{limits: limits}
+}
+
+// Offer asks to run a request.
+func (q *Queue[T]) Offer(now time.Time, item Item[T]) Decision {
+	if item.passed(now) {
+		return Decision{Code: result.DeadlinePassed}
+	}
+
+	// If fewer run than may, the waiting ones are past their deadline: each end of a request starts others.
+	if q.running < q.limits.Running {
+		q.start(item.Class)
+
+		return Decision{Run: true}
+	}
+
+	if len(q.waiting[item.Class]) >= q.limits.Waiting {
+		return Decision{Code: result.QueueFull}
+	}
+
+	wait := q.estimate(item.Class)
+	if !item.Deadline.IsZero() && now.Add(wait).After(item.Deadline) {
+		return Decision{Code: result.DeadlinePassed, Wait: wait}
+	}
+
+	q.waiting[item.Class] = append(q.waiting[item.Class], item)
+
+	return Decision{Wait: wait}
+}
+
+// Done notes that a running request ended after the given time, and returns the requests to start. Requests whose
+// deadline has passed stay until Expire returns them.
+func (q *Queue[T]) Done(now time.Time, took time.Duration) []T {
+	q.running--
+	q.mean += (took - q.mean) / meanWeight
+
+	return q.fill(now)
+}
+
+// Limit changes the limits and returns the requests to start. Running requests beyond a smaller limit go on.
+func (q *Queue[T]) Limit(now time.Time, limits Limits) []T {
+	q.limits = limits
+
+	return q.fill(now)
+}
+
+// Expire takes out the waiting requests whose deadline has passed. They did not run.
+func (q *Queue[T]) Expire(now time.Time) []T {
+	var expired []T
+
+	for class := range q.waiting {
+		q.waiting[class] = slices.DeleteFunc(q.waiting[class], func(item Item[T]) bool {
+			if !item.passed(now) {
+				return false
+			}
+
+			expired = append(expired, item.Value)
+
+			return true
+		})
+	}
+
+	return expired
+}
+
+// Withdraw takes out a waiting request. It is false if the request does not wait.
+func (q *Queue[T]) Withdraw(value T) bool {
+	for class := range q.waiting {
+		at := slices.IndexFunc(q.waiting[class], func(item Item[T]) bool { return item.Value == value })
+		if at >= 0 {
+			q.waiting[class] = slices.Delete(q.waiting[class], at, at+1)
+
+			return true
+		}
+	}
+
+	return false
+}
+
+// Waiting returns the number of waiting requests.
+func (q *Queue[T]) Waiting() int {
+	return len(q.waiting[Urgent]) + len(q.waiting[Routine])
+}
+
+// Running returns the number of running requests.
+func (q *Queue[T]) Running() int {
+	return q.running
+}
+
+// fill starts waiting requests while others may run.
+func (q *Queue[T]) fill(now time.Time) []T {
+	var started []T
+
+	for q.running < q.limits.Running {
+		class, at, found := q.next(now)
+		if !found {
+			break
+		}
+
+		started = append(started, q.waiting[class][at].Value)
+		q.waiting[class] = slices.Delete(q.waiting[class], at, at+1)
+		q.start(class)
+	}
+
+	return started
+}
+
+// next finds the request to start: the first of its class whose deadline has not passed.
+func (q *Queue[T]) next(now time.Time) (Class, int, bool) {
+	first := func(class Class) int {
+		return slices.IndexFunc(q.waiting[class], func(item Item[T]) bool { return !item.passed(now) })
+	}
+
+	urgent, routine := first(Urgent), first(Routine)
+
+	switch {
+	case routine >= 0 && (urgent < 0 || q.streak >= urgentStreak):
+		return Routine, routine, true
+	case urgent >= 0:
+		return Urgent, urgent, true
+	default:
+		return 0, 0, false
+	}
+}
+
+func (q *Queue[T]) start(class Class) {
+	q.running++
+	q.streak++
+
+	if class == Routine {
+		q.streak = 0
+	}
+}
+
+// estimate returns the expected wait of a new request of a class.
+func (q *Queue[T]) estimate(class Class) time.Duration {
+	ahead := len(q.waiting[Urgent])
+	if class == Routine {
+		ahead += len(q.waiting[Routine])
+	} else {
+		ahead += min(len(q.waiting[Routine]), ahead/urgentStreak)
+	}
+
+	return q.mean * time.Duration(ahead+1) / time.Duration(max(1, q.limits.Running))
+}
+
+func (i Item[T]) passed(now time.Time) bool {
+	return !i.Deadline.IsZero() && !now.Before(i.Deadline)
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,166 @@
+package retry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"almondgrade/core/retry"
+)
+
+// naive keeps every event and counts those of the window. A window ends with the part of half a second that the time
+// falls into.
+type naive struct {
+	requests []time.Duration
+	retries  []time.Duration
+}
+
+func recent(events []time.Duration, now time.Duration) int {
+	const part = 500 * time.Millisecond
+
+	found := 0
+
+	for _, at := range events {
+		if at/part > now/part-20 {
+			found++
+		}
+	}
+
+	return found
+}
+
+func (n *naive) retry(now time.Duration) bool {
+	if (recent(n.retries, now)+1)*10 > recent(n.requests, now) {
+		return false
+	}
+
+	n.retries = append(n.retries, now)
+
+	return true
+}
+
+// TestBudgetMatchesNaive guards against retries beyond the share, and against a window that forgets too early or late.
+func TestBudgetMatchesNaive(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		budget := retry.NewBudget(retry.DefaultShare, retry.DefaultWindow)
+		expected := &naive{}
+		start := time.Unix(50, 0)
+		now := time.Duration(0)
+
+		budget.Request(start)
+
+		expected.requests = append(expected.requests, now)
+
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				now += time.Duration(rapid.IntRange(0, 3000).Draw(t, "millis")) * time.Millisecond
+			case 1:
+				require.Equal(t, expected.retry(now), budget.Retry(start.Add(now)))
+			default:
+				for range rapid.IntRange(1, 15).Draw(t, "requests") {
+					budget.Request(start.Add(now))
+
+					expected.requests = append(expected.requests, now)
+				}
+			}
+		}
+	})
+}
+
+// TestAttemptsStayBounded guards against a storm of retries: every attempt fails, and each failure asks for a retry.
+func TestAttemptsStayBounded(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		budget := retry.NewBudget(retry.DefaultShare, retry.DefaultWindow)
+		now := time.Unix(50, 0)
+		requests, attempts := 0, 0
+
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "millis")) * time.Millisecond)
+
+			for range rapid.IntRange(0, 30).Draw(t, "requests") {
+				requests++
+				attempts++
+
+				budget.Request(now)
+
+				for budget.Retry(now) {
+					attempts++
+				}
+			}
+
+			require.LessOrEqual(t, float64(attempts), 1.2*float64(requests))
+		}
+	})
+}
+
+// TestTimesOutOfOrder guards against counts that are lost or negative when callers' times arrive out of order.
+func TestTimesOutOfOrder(t *testing.T) {
+	t.Parallel()
+
+	budget := retry.NewBudget(retry.DefaultShare, retry.DefaultWindow)
+	start := time.Unix(50, 0)
+
+	for i := range 20 {
+		budget.Request(start.Add(time.Duration(20-i) * time.Second / 4))
+	}
+
+	assert.True(t, budget.Retry(start.Add(6*time.Second)))
+	assert.True(t, budget.Retry(start))
+	assert.False(t, budget.Retry(start.Add(6*time.Second)))
+	assert.False(t, budget.Retry(start.Add(time.Minute)))
+}
+
+// TestBackoff guards against waits beyond the limit of an attempt or the deadline. The naive limit is a power of two.
+func TestBackoff(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		attempts := rapid.IntRange(1, 100).Draw(t, "attempts")
+		random := rapid.Float64Range(0, 0.999999).Draw(t, "random")
+		now := time.Unix(50, 0)
+		deadline := now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "deadline")) * time.Millisecond)
+
+		limit := time.Second
+		if attempts <= 7 {
+			limit = 10 * time.Millisecond << (attempts - 1)
+		}
+
+		delay, inTime := retry.DefaultBackoff.Delay(attempts, random, now, deadline)
+		require.GreaterOrEqual(t, delay, time.Duration(0))
+		require.Less(t, delay, limit)
+		require.InDelta(t, random*float64(limit), float64(delay), 1)
+		require.Equal(t, now.Add(delay).Before(deadline), inTime)
+	})
+
+	_, inTime := retry.DefaultBackoff.Delay(3, 0.5, time.Unix(50, 0), time.Time{})
+	assert.True(t, inTime, "a request without a deadline")
+}
+
+func ExampleBudget() {
+	now := time.Unix(0, 0)
+	budget := retry.NewBudget(retry.DefaultShare, retry.DefaultWindow)
+
+	for range 20 {
+		budget.Request(now)
+	}
+
+	fmt.Println(budget.Retry(now), budget.Retry(now), budget.Retry(now))
+	// Output: true true false
+}
+
+func ExampleBackoff() {
+	now := time.Unix(0, 0)
+	deadline := now.Add(100 * time.Millisecond)
+
+	fmt.Println(retry.DefaultBackoff.Delay(1, 0.5, now, deadline))
+	fmt.Println(retry.DefaultBackoff.Delay(5, 0.9, now, deadline))
+	// Output:
+	// 5ms true
+	// 144ms false
+}
