internal/coordination: return to a coordinator that failed for a while

A link that had gone over to direct questions because the coordinator could not reach the primary never asked the coordinator again. It now does so each second, and not at all directly while the group changes its primary. Found on review; TestCutOffCoordinator covers it. Polls of a primary that doesn't answer are 50 ms apart.

--- /dev/null
+++ b/core/failover/detector_test.go
@@ -0,0 +1,141 @@
+package failover_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"almondgrade/core/failover"
+)
+
+//nolint:gochecknoglobals // Constant.
+var thresholds = failover.Thresholds{Failures: 3, Spacing: 500 * time.Millisecond, Slow: 400 * time.Millisecond}
+
+// TestDetector guards against taking a lost connection, a slow server or a short interruption for a dead server, and
+// against a dead server that is not noticed.
+func TestDetector(t *testing.T) {
+	t.Parallel()
+
+	type step struct {
+		after   time.Duration
+		took    time.Duration
+		fresh   bool
+		outcome failover.Outcome
+		want    failover.State
+	}
+
+	const second = time.Second
+
+	for _, test := range []struct {
+		name  string
+		steps []step
+	}{
+		{"lost connections", []step{
+			{0, second, false, failover.Silent, failover.Unsure},
+			{second, 0, true, failover.Answered, failover.Healthy},
+			{second, second, false, failover.Silent, failover.Unsure},
+			{second, second, false, failover.Silent, failover.Unsure},
+			{second, second, false, failover.Silent, failover.Unsure},
+			{second, second, false, failover.Silent, failover.Unsure},
+		}},
+		{"slow server", []step{
+			{0, 900 * time.Millisecond, true, failover.Answered, failover.Slow},
+			{second, 900 * time.Millisecond, false, failover.Answered, failover.Slow},
+			{second, 900 * time.Millisecond, false, failover.Answered, failover.Slow},
+			{second, 10 * time.Millisecond, false, failover.Answered, failover.Healthy},
+		}},
+		{"short interruption", []step{
+			{0, 0, true, failover.Refused, failover.Unsure},
+			{time.Millisecond, 0, true, failover.Refused, failover.Unsure},
+			{time.Millisecond, 0, true, failover.Refused, failover.Unsure},
+			{time.Millisecond, 0, true, failover.Refused, failover.Unsure},
+			{499 * time.Millisecond, 0, true, failover.Answered, failover.Healthy},
+		}},
+		{"dead server", []step{
+			{0, 0, true, failover.Refused, failover.Unsure},
+			{500 * time.Millisecond, 0, true, failover.Refused, failover.Unsure},
+			{500 * time.Millisecond, 0, true, failover.Refused, failover.Dead},
+			{500 * time.Millisecond, 0, true, failover.Answered, failover.Healthy},
+		}},
+		{"frozen server", []step{
+			{0, second, false, failover.Silent, failover.Unsure},
+			{second, second, true, failover.Silent, failover.Unsure},
+			{second, second, true, failover.Silent, failover.Unsure},
+			{second, second, true, failover.Silent, failover.Dead},
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			detector := failover.NewDetector(thresholds)
+			now := time.Unix(50, 0)
+
+			for i, step := range test.steps {
+				now = now.Add(step.after)
+				got := detector.Observe(failover.Query{
+					Began: now, Took: step.took, Fresh: step.fresh, Outcome: step.outcome,
+				})
+				assert.Equal(t, step.want, got, "step %d: %s", i, got)
+				assert.Equal(t, got, detector.State())
+			}
+		})
+	}
+}
+
+// TestDetectorMatchesNaive compares the detector with a version that looks at all queries since the last answer.
+func TestDetectorMatchesNaive(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		detector := failover.NewDetector(thresholds)
+		now := time.Unix(50, 0)
+
+		var since []failover.Query
+
+		for range rapid.IntRange(1, 50).Draw(t, "queries") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "millis")) * time.Millisecond)
+			query := failover.Query{
+				Began: now, Took: time.Duration(rapid.IntRange(0, 1000).Draw(t, "took")) * time.Millisecond,
+				Fresh: rapid.Bool().Draw(t, "fresh"),
+				Outcome: rapid.SampledFrom([]failover.Outcome{
+					failover.Answered, failover.Refused, failover.Silent, failover.Refused, failover.Silent,
+				}).Draw(t, "outcome"),
+			}
+
+			want := failover.Unsure
+			if query.Outcome == failover.Answered {
+				since = nil
+
+				want = failover.Healthy
+				if query.Took > thresholds.Slow {
+					want = failover.Slow
+				}
+			} else {
+				since = append(since, query)
+				if spaced(since) >= thresholds.Failures {
+					want = failover.Dead
+				}
+			}
+
+			require.Equal(t, want, detector.Observe(query))
+		}
+	})
+}
+
+// spaced counts the failures on new connections, leaving out those that began too soon after a counted one.
+func spaced(queries []failover.Query) int {
+	count := 0
+
+	var last time.Time
+
+	for _, query := range queries {
+		if query.Fresh && (count == 0 || !query.Began.Before(last.Add(thresholds.Spacing))) {
+			count++
+			last = query.Began
+		}
+	}
+
+	return count
+}
--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -12,6 +12,7 @@
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
 	"almondgrade/internal/proxy"
+	"almondgrade/internal/standin"
 	"almondgrade/io/backend"
 )
 
@@ -382,3 +383,151 @@
 	err := c.proxies["p1"].ForwardCancel(deadline(t), 9<<16|5, []byte("secret"))
 	assert.Equal(t, result.NotFound, result.CodeOf(err))
 }
+
+// TestDeadProxyReturnsPermits guards against permits that are lost with a proxy whose connections the server still
+// shows, and against permits granted while it shows them.
+func TestDeadProxyReturnsPermits(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 1, slots: 2, connections: 4, proxies: []string{"p1", "p2"}})
+	server := memberName(0)
+	p2 := c.proxies["p2"]
+
+	for range 2 {
+		_, err := p2.Connection(deadline(t), server, false)
+		require.NoError(t, err)
+
+		conn, err := backend.OpenAdmin(deadline(t), c.members[0].Addr(), login, p2.Application()+"1")
+		require.NoError(t, err)
+		t.Cleanup(conn.Close)
+	}
+
+	p2.stop()
+	// Another process of the same name starts at once.
+	c.change(func(view *registry.View, _ *registry.Group) {
+		again := view.Proxies["p2"]
+		again.Instance, again.Number = 99, 99
+		view.Proxies["p2"] = again
+	})
+
+	_, err := c.proxies["p1"].Connection(deadline(t), server, false)
+	require.NoError(t, err)
+
+	shown := c.shown(0)
+	assert.NotContains(t, shown, p2.Application()+"1", "the permit returned while the connections were open")
+}
+
+// TestFrozenReplica guards against barriers and confirmations that wait for a replica although others suffice.
+func TestFrozenReplica(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 3, slots: 5, connections: 20, proxies: []string{"p1"}})
+	p1 := c.proxies["p1"]
+
+	_, err := p1.Barrier(deadline(t), groupName)
+	require.NoError(t, err)
+
+	c.members[1].Freeze()
+
+	// The longest of these may not take as long as one query to the frozen replica.
+	for range 50 {
+		ctx, cancel := context.WithTimeout(context.Background(), 450*time.Millisecond)
+		_, err = p1.Barrier(ctx, groupName)
+		require.NoError(t, err)
+
+		_, err = p1.Confirm(ctx, groupName, 1, false)
+		require.NoError(t, err)
+		cancel()
+	}
+}
+
+// TestCutOffCoordinator guards against a coordinator that can't reach the primary itself and keeps all other proxies
+// from reading and writing.
+func TestCutOffCoordinator(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 3, slots: 5, connections: 20, proxies: []string{"p1", "p2"}})
+	p2 := c.proxies["p2"]
+
+	// The coordinator has to know what is held before it is cut off, or it could grant no permit.
+	for i := range c.members {
+		granted, err := p2.Connection(deadline(t), memberName(i), false)
+		require.NoError(t, err)
+		granted.Release()
+	}
+
+	_, err := p2.Barrier(deadline(t), groupName)
+	require.NoError(t, err)
+
+	assert.Zero(t, p2.count("coordination_direct"))
+
+	for _, member := range c.members {
+		member.Cut("ag/p1/", standin.Both)
+	}
+
+	_, err = p2.Barrier(deadline(t), groupName)
+	require.NoError(t, err)
+
+	_, err = p2.Confirm(deadline(t), groupName, 1, false)
+	require.NoError(t, err)
+	assert.Positive(t, p2.count("coordination_direct"))
+
+	for _, member := range c.members {
+		member.Heal()
+	}
+
+	eventually(t, "the coordinator is used again", func() bool {
+		before := p2.count("coordination_direct")
+		_, err := p2.Barrier(deadline(t), groupName)
+		require.NoError(t, err)
+
+		return p2.count("coordination_direct") == before
+	})
+}
+
+// TestWithoutLease guards against a proxy that opens connections after control may have taken it for gone.
+func TestWithoutLease(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 1, slots: 2, connections: 6, proxies: []string{"p1", "p2"}})
+	p2 := c.proxies["p2"]
+	p2.unconfirmed.Store(true)
+
+	_, err := p2.Connection(deadline(t), memberName(0), false)
+	assert.Equal(t, result.Unconfirmed, result.CodeOf(err), "%v", err)
+
+	p2.unconfirmed.Store(false)
+
+	for range 4 {
+		_, err = p2.Connection(deadline(t), memberName(0), false)
+		require.NoError(t, err, "the refused permit returned")
+	}
+}
+
+// TestKeepsPermitsWithoutCoordinator guards against a proxy without its coordinator that gives up permits it holds and
+// can't get others in their place.
+func TestKeepsPermitsWithoutCoordinator(t *testing.T) {
+	t.Parallel()
+
+	c := newCluster(t, shape{members: 1, slots: 2, connections: 6, proxies: []string{"p1", "p2"}})
+	p2, server := c.proxies["p2"], memberName(0)
+
+	granted, err := p2.Connection(deadline(t), server, false)
+	require.NoError(t, err)
+
+	c.proxies["p1"].stop()
+
+	// The proxy has noticed once a request for another permit has failed.
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+
+	_, err = p2.Connection(ctx, server, false)
+	require.Error(t, err)
+
+	for range 3 {
+		granted.Release()
+
+		granted, err = p2.Connection(deadline(t), server, false)
+		require.NoError(t, err)
+	}
+}
--- a/internal/coordination/helpers_test.go
+++ b/internal/coordination/helpers_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 
@@ -59,6 +60,12 @@
 	// refuse makes the proxy's new connections to other proxies fail.
 	refuse atomic.Bool
 	timer  *timer.Clock
+	// metrics holds the counters.
+	metrics metrics.Registry
+}
+
+func (p *process) count(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, p.metrics).Count()
 }
 
 func (p *process) View() *registry.View { return p.cluster.view.Load() }
@@ -148,11 +155,11 @@
 func (c *cluster) start(name string, listener net.Listener) *process {
 	p := &process{
 		cluster: c, name: name, instance: c.view.Load().Proxies[name].Instance, recalled: make(chan string, 1000),
-		timer: timer.New(),
+		timer: timer.New(), metrics: metrics.NewRegistry(),
 	}
 	c.proxies[name] = p
 	p.Coordination = coordination.New(coordination.Options{
-		Name: name, Instance: p.instance, Source: p, Login: login, Timer: p.timer,
+		Name: name, Instance: p.instance, Source: p, Login: login, Timer: p.timer, Metrics: p.metrics,
 		Suspect: func(string, position.Term, string, string) { p.suspects.Add(1) },
 		Cancel:  func(uint32, []byte) { p.cancels.Add(1) },
 		Recall: func(server string, _ int) {
@@ -244,6 +251,19 @@
 	return seen.Insert
 }
 
+// shown returns the connections that a member shows, by application name.
+func (c *cluster) shown(index int) map[string]int {
+	var shown map[string]int
+
+	c.admin(index, func(ctx context.Context, admin *backend.Admin) (err error) {
+		shown, err = admin.Connections(ctx)
+
+		return err
+	})
+
+	return shown
+}
+
 // promote makes a fenced member the primary of a term and returns the beginning of the term.
 func (c *cluster) promote(index int, term position.Term) position.LSN {
 	var begin position.LSN
--- a/internal/coordination/link.go
+++ b/internal/coordination/link.go
@@ -46,7 +46,9 @@
 	reachable bool
 	// failing is the time since which the coordinator has answered barriers and confirmations with failures only.
 	failing time.Time
-	used    time.Time
+	// tried is the time at which the coordinator was last asked.
+	tried time.Time
+	used  time.Time
 	hints   []string
 
 	// next and sequence number the permits and the reports.
@@ -138,6 +140,11 @@
 	now := l.owner.options.Timer.Now()
 	observations := append([]proxy.Observation(nil), *list...)
 
+	// Reports bring observations each second; where reads depend on them they are asked for more often.
+	if len(observations) > 0 && now.Sub(observations[0].At) > refreshTime && l.reports.Idle() {
+		go l.hold()
+	}
+
 	for i := range observations {
 		if at, found := l.owner.failed.Load(observations[i].Server); found && now.Sub(at.(time.Time)) < failedTime {
 			observations[i].Reachable = false
@@ -234,7 +241,8 @@
 	return answer, err
 }
 
-// choose returns the coordinator, or whether to ask the members directly.
+// choose returns the coordinator, or whether to ask the members directly. A coordinator that answers with failures, for
+// example because it can't reach the primary, is asked again now and then.
 func (l *link) choose() (target, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -243,9 +251,26 @@
 		return nil, false
 	}
 
-	failing := !l.failing.IsZero() && l.owner.options.Timer.Now().Sub(l.failing) >= failedTime
+	if l.to == nil || !l.reachable {
+		return l.to, true
+	}
+
+	now := l.owner.options.Timer.Now()
+	if l.failing.IsZero() || now.Sub(l.failing) < failingTime || !l.stable() || now.Sub(l.tried) >= failedTime {
+		l.tried = now
+
+		return l.to, false
+	}
+
+	return l.to, true
+}
+
+// stable reports whether the group is not changing its primary. During a change nobody can do better than the
+// coordinator.
+func (l *link) stable() bool {
+	view := l.owner.View()
 
-	return l.to, l.to == nil || !l.reachable || failing
+	return view != nil && view.Groups[l.group].Phase == registry.PhaseStable
 }
 
 // noted takes the outcome of a call to the coordinator.
--- a/internal/coordination/options.go
+++ b/internal/coordination/options.go
@@ -63,6 +63,10 @@
 	activeTime = 10 * time.Second
 	// failedTime is the time for which a failed server is avoided.
 	failedTime = time.Second
+	// failingTime is the time of failures only after which the members are asked directly.
+	failingTime = 2 * time.Second
+	// refreshTime is the age of observations above which new ones are asked for.
+	refreshTime = 250 * time.Millisecond
 	// answerMargin is the part of a caller's deadline that is kept for the way back of the answer, as a divisor.
 	answerMargin = 10
 	// leastBackoff and mostBackoff bound the time between attempts.
--- a/internal/coordinator/confirm.go
+++ b/internal/coordinator/confirm.go
@@ -16,6 +16,8 @@
 	pollStep = time.Millisecond
 	// pollMost is the greatest interval between polls.
 	pollMost = 5 * time.Millisecond
+	// failedPause is the interval between polls of a primary that doesn't answer.
+	failedPause = 50 * time.Millisecond
 )
 
 // confirms are the writes that wait until a commit quorum holds them. One loop polls the primary for all.
@@ -126,16 +128,20 @@
 			return
 		}
 
-		c.ask(untargeted)
+		// New writes don't hasten the next poll of a primary that doesn't answer.
+		wait, arrived := interval, c.arrived
+		if !c.ask(untargeted) {
+			wait, arrived = failedPause, nil
+		}
 
-		pause := time.NewTimer(interval)
+		pause := time.NewTimer(wait)
 
 		select {
 		case <-c.owner.context.Done():
 			pause.Stop()
 
 			return
-		case <-c.arrived:
+		case <-arrived:
 			pause.Stop()
 
 			interval = pollStep
@@ -168,20 +174,22 @@
 	return untargeted, true
 }
 
-func (c *confirms) ask(untargeted []*confirm) {
+// ask polls the primary and settles the writes that a quorum holds. It is false if the primary of the term did not
+// answer.
+func (c *confirms) ask(untargeted []*confirm) bool {
 	state := c.owner.state.Load()
 	if state == nil {
-		return
+		return false
 	}
 
 	primary, found := state.members[state.group.Primary]
 	if !found {
-		return
+		return false
 	}
 
 	sight, err := c.owner.observe(c.owner.context, primary)
 	if err != nil || !leads(sight, state.group.Term) {
-		return
+		return false
 	}
 
 	c.mutex.Lock()
@@ -202,6 +210,8 @@
 			c.settle(waiting, nil)
 		}
 	}
+
+	return true
 }
 
 // settle ends a wait. The mutex is held.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -348,7 +348,8 @@
 	}
 
 	if present := c.state.Load(); state == failover.Dead && present != nil && c.options.Suspect != nil {
-		c.options.Suspect(c.options.Group, present.group.Term, member.name, err.Error())
+		// Queries to the member go on meanwhile.
+		go c.options.Suspect(c.options.Group, present.group.Term, member.name, err.Error())
 	}
 }
 
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,196 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"almondgrade/io/peer"
+	"almondgrade/io/peer/peerpb"
+)
+
+// handler answers barriers at once, or not at all while it is told to wait.
+type handler struct {
+	peerpb.UnimplementedPeerServer
+	waits atomic.Bool
+	holds atomic.Int64
+}
+
+func (h *handler) Barrier(ctx context.Context, request *peerpb.BarrierRequest) (*peerpb.BarrierReply, error) {
+	if h.waits.Load() {
+		<-ctx.Done()
+	}
+
+	return &peerpb.BarrierReply{Term: request.GetEpoch()}, nil
+}
+
+func (h *handler) Hold(context.Context, *peerpb.HoldRequest) (*peerpb.HoldReply, error) {
+	h.holds.Add(1)
+
+	return &peerpb.HoldReply{}, nil
+}
+
+// silenceable is a connection whose traffic can be made to vanish.
+type silenceable struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (s *silenceable) Write(data []byte) (int, error) {
+	if s.silent.Load() {
+		return len(data), nil
+	}
+
+	return s.Conn.Write(data)
+}
+
+// network opens connections and remembers them.
+type network struct {
+	mutex sync.Mutex
+	open  []*silenceable
+}
+
+func (n *network) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+
+	opened := &silenceable{Conn: conn}
+	n.open = append(n.open, opened)
+
+	return opened, nil
+}
+
+// silence makes the connections that are open now silent and returns their number.
+func (n *network) silence() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+
+	for _, conn := range n.open {
+		conn.silent.Store(true)
+	}
+
+	return len(n.open)
+}
+
+func start(t *testing.T, served *handler) (*peer.Client, *network) {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	server := peer.NewServer(peer.Options{}, served)
+
+	go func() { _ = server.Serve(listener) }()
+
+	t.Cleanup(server.Stop)
+
+	used := &network{}
+	client, err := peer.Dial(listener.Addr().(*net.TCPAddr).AddrPort(), peer.Options{Dial: used.dial})
+	require.NoError(t, err)
+	t.Cleanup(client.Close)
+
+	return client, used
+}
+
+// TestSilentConnectionIsReplaced guards against calls that fail for as long as a lost connection looks open.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	t.Parallel()
+
+	served := &handler{}
+	client, used := start(t, served)
+
+	reply, err := client.Barrier(t.Context(), &peerpb.BarrierRequest{Epoch: 7})
+	require.NoError(t, err)
+	assert.Equal(t, uint64(7), reply.GetTerm())
+
+	for range 2 {
+		require.Positive(t, used.silence())
+
+		_, err = client.Hold(t.Context(), &peerpb.HoldRequest{})
+		require.Equal(t, codes.DeadlineExceeded, status.Code(unwrapped(err)), "%v", err)
+
+		_, err = client.Hold(t.Context(), &peerpb.HoldRequest{})
+		require.NoError(t, err, "the next call uses a new connection")
+	}
+}
+
+// TestSlowCallKeepsConnection guards against a working connection that is replaced because one call takes long.
+func TestSlowCallKeepsConnection(t *testing.T) {
+	t.Parallel()
+
+	served := &handler{}
+	served.waits.Store(true)
+
+	client, used := start(t, served)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+
+	answered := make(chan error, 1)
+
+	go func() {
+		_, err := client.Barrier(ctx, &peerpb.BarrierRequest{})
+		answered <- err
+	}()
+
+	for ctx.Err() == nil {
+		_, err := client.Hold(t.Context(), &peerpb.HoldRequest{})
+		require.NoError(t, err)
+	}
+
+	<-answered
+	assert.Positive(t, served.holds.Load())
+
+	_, err := client.Hold(t.Context(), &peerpb.HoldRequest{})
+	require.NoError(t, err)
+	assert.Len(t, used.open, 1)
+}
+
+// TestUnreachablePeer guards against calls that hang until their context ends although nobody listens.
+func TestUnreachablePeer(t *testing.T) {
+	t.Parallel()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
+	require.NoError(t, listener.Close())
+
+	client, err := peer.Dial(netip.AddrPort(address), peer.Options{})
+	require.NoError(t, err)
+
+	defer client.Close()
+
+	_, err = client.Barrier(t.Context(), &peerpb.BarrierRequest{})
+	assert.Equal(t, codes.Unavailable, status.Code(unwrapped(err)), "%v", err)
+}
+
+// unwrapped returns the error of the gRPC library.
+func unwrapped(err error) error {
+	for {
+		if _, ok := err.(interface{ GRPCStatus() *status.Status }); ok {
+			return err
+		}
+
+		wrapper, ok := err.(interface{ Unwrap() error })
+		if !ok {
+			return err
+		}
+
+		err = wrapper.Unwrap()
+	}
+}
