--- a/internal/coordinator/confirm.go
+++ b/internal/coordinator/confirm.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"almondgrade/core/container"
 	"almondgrade/core/position"
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
@@ -15,6 +16,8 @@
 	pollStep = time.Millisecond
 	// pollMost is the greatest interval between polls.
 	pollMost = 5 * time.Millisecond
+	// failedPause is the interval between polls of a primary that doesn't answer.
+	failedPause = 50 * time.Millisecond
 )
 
 // confirms are the writes that wait until a commit quorum holds them. One loop polls the primary for all.
@@ -125,16 +128,20 @@
 			return
 		}
 
-		c.ask(untargeted)
+		// New writes don't hasten the next poll of a primary that doesn't answer.
+		wait, arrived := interval, c.arrived
+		if !c.ask(untargeted) {
+			wait, arrived = failedPause, nil
+		}
 
-		pause := time.NewTimer(interval)
+		pause := time.NewTimer(wait)
 
 		select {
 		case <-c.owner.context.Done():
 			pause.Stop()
 
 			return
-		case <-c.arrived:
+		case <-arrived:
 			pause.Stop()
 
 			interval = pollStep
@@ -167,20 +174,22 @@
 	return untargeted, true
 }
 
-func (c *confirms) ask(untargeted []*confirm) {
+// ask polls the primary and settles the writes that a quorum holds. It is false if the primary of the term did not
+// answer.
+func (c *confirms) ask(untargeted []*confirm) bool {
 	state := c.owner.state.Load()
 	if state == nil {
-		return
+		return false
 	}
 
 	primary, found := state.members[state.group.Primary]
 	if !found {
-		return
+		return false
 	}
 
 	sight, err := c.owner.observe(c.owner.context, primary)
 	if err != nil || !leads(sight, state.group.Term) {
-		return
+		return false
 	}
 
 	c.mutex.Lock()
@@ -193,16 +202,16 @@
 	}
 
 	flushed := flushedBy(sight, state.group.Term)
+	counted := voters(state)
 
 	for waiting := range c.waiting {
-		if waiting.targeted && waiting.term == state.group.Term && commitQuorum(state.group, func(server string) bool {
-			at, found := flushed[server]
-
-			return found && at >= waiting.target
-		}) {
+		if waiting.targeted && waiting.term == state.group.Term &&
+			commitQuorum(state.group, holding(counted, flushed, waiting.target)) {
 			c.settle(waiting, nil)
 		}
 	}
+
+	return true
 }
 
 // settle ends a wait. The mutex is held.
@@ -224,3 +233,18 @@
 
 	return flushed
 }
+
+// holding returns the counted replicas that have flushed a position.
+func holding(
+	counted container.Set[string], flushed map[string]position.LSN, target position.LSN,
+) container.Set[string] {
+	holders := container.NewSet[string]()
+
+	for name, at := range flushed {
+		if counted.Has(name) && at >= target {
+			holders.Add(name)
+		}
+	}
+
+	return holders
+}
