--- a/cmd/almondgrade/main.go
+++ b/cmd/almondgrade/main.go
@@ -51,24 +51,27 @@
 
 // run parses and executes a command line and returns the exit code.
 func run(args []string, stdout, stderr io.Writer) int {
+	_, err := newParser(stdout).ParseArgs(args)
+
+	return report(err, stdout, stderr)
+}
+
+// newParser returns a parser with every subcommand.
+func newParser(stdout io.Writer) *flags.Parser {
 	parser := flags.NewNamedParser("almondgrade", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "database proxy with session consistency"
 	parser.LongDescription = "Exit codes: 0 done, 1 faults in settings, 2 wrong command line, 3 refused with a " +
 		"result code, 4 no answer and the outcome is unknown, 5 a process or file operation failed."
 
 	for _, add := range []func(*flags.Parser, console) error{
-		addCheck, addApply, addStatus, addDrain, addProxy, addControl,
+		addCheck, addApply, addStatus, addDrain, addRepair, addProxy, addControl,
 	} {
 		if err := add(parser, console{out: stdout}); err != nil {
-			_, _ = fmt.Fprintln(stderr, err)
-
-			return ExitFailed
+			panic(err) // A subcommand's options don't parse, which no command line can change.
 		}
 	}
 
-	_, err := parser.ParseArgs(args)
-
-	return report(err, stdout, stderr)
+	return parser
 }
 
 // addCommand adds a subcommand whose long description ends with a working example.
--- a/core/settings/load.go
+++ b/core/settings/load.go
@@ -95,7 +95,7 @@
 
 	for i, tree := range trees[1:] {
 		source := sources[i+1]
-		checked.faults = append(checked.faults, checkFormatKept(trees[0], tree, source.Name)...)
+		checked.formatKept(trees[0], tree, source.Name)
 		checked.faults = append(checked.faults, unknownRemovals(source.Name, tree, reflect.TypeFor[Settings](), nil)...)
 		present = loaded.origins.overlay(source.Name, present, tree, nil)
 
--- a/core/settings/merge.go
+++ b/core/settings/merge.go
@@ -120,19 +120,20 @@
 	return merged
 }
 
-// checkFormatKept reports an overlay that changes the format of the base.
-func checkFormatKept(base, overlay *node, file string) Faults {
+// formatKept reports an overlay that changes the format of the base.
+func (c *checker) formatKept(base, overlay *node, file string) {
 	changed, found := overlay.members["format"]
 	if !found {
-		return nil
+		return
 	}
 
 	if kept, known := base.members["format"]; known && kept.text() == changed.text() {
-		return nil
+		return
 	}
 
-	return Faults{{File: file, Line: changed.line, Path: "format", Value: changed.text(),
-		Allowed: "an overlay may not change the format of the base file"}}
+	c.faulty["format"] = true
+	c.faults = append(c.faults, Fault{File: file, Line: changed.line, Path: "format", Value: changed.text(),
+		Allowed: "an overlay may not change the format of the base file"})
 }
 
 // compact returns a document without insignificant space.
