cmd/almondgrade: show a repeated answer without base and difference

A trial run against a control process showed that the answer to a repeated id names the present number as its base, which status had just been read for, and an empty difference.

--- a/cmd/almondgrade/apply.go
+++ b/cmd/almondgrade/apply.go
@@ -133,27 +133,31 @@
 		return fmt.Errorf("%w\nsend the change again with %s", err, again)
 	case result.CodeOf(err) == result.NumberNotCurrent:
 		return fmt.Errorf("%w\ncurrent number %d by %s; difference between it and the change:\n%s", err,
-			reply.GetNumber(), reply.GetAuthor(), reply.GetDifference())
+			reply.GetNumber(), reply.GetAuthor(), orNone(reply.GetDifference()))
 	case err != nil:
 		return err
 	}
 
-	word := "accepted"
+	if reply.GetRepeated() {
+		return a.print("accepted before, this is the first answer\nnumber %d\nchange id %s\n", reply.GetNumber(), a.ID)
+	}
 
-	switch {
-	case a.Dry:
+	word := "accepted"
+	if a.Dry {
 		word = "dry run, nothing changed"
-	case reply.GetRepeated():
-		word = "accepted before, this is the first answer"
 	}
 
-	difference := reply.GetDifference()
+	return a.print("%s\nnumber %d, based on %d\nchange id %s\ndifference:\n%s", word, reply.GetNumber(), *a.Base, a.ID,
+		orNone(reply.GetDifference()))
+}
+
+// orNone returns a difference, or a line that says that there is none.
+func orNone(difference string) string {
 	if difference == "" {
-		difference = "none\n"
+		return "none\n"
 	}
 
-	return a.print("%s\nnumber %d, based on %d\nchange id %s\ndifference:\n%s", word, reply.GetNumber(), *a.Base, a.ID,
-		difference)
+	return difference
 }
 
 // unknownOutcome reports whether a change may have been accepted although no acceptance was read.
