--- a/core/settings/check_test.go
+++ b/core/settings/check_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -219,6 +220,18 @@
 	}
 }
 
+// Guards against a first configuration in the README that differs from the example file.
+func TestReadmeShowsExample(t *testing.T) {
+	page, err := os.ReadFile("../../README.md")
+	require.NoError(t, err)
+
+	example, err := os.ReadFile("../../docs/examples/local/base.json")
+	require.NoError(t, err)
+
+	shown := regexp.MustCompile(`(?s)\n    \{\n.*?\n    \}\n`).FindString(string(page))
+	require.JSONEq(t, string(example), shown)
+}
+
 // Guards against input from an operator or a file that stops the process.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(minimal), []byte(`{"vm": {"caller": null, "open": []}}`))
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -3,10 +3,18 @@
 import (
 	"bytes"
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
+	"encoding/pem"
 	"errors"
 	"io"
 	"log/slog"
+	"math/big"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -273,6 +281,80 @@
 	require.Equal(t, "c1", status.GetLeader())
 }
 
+// selfSigned writes a certificate for 127.0.0.1 that is its own authority.
+func selfSigned(t *testing.T) settings.TLS {
+	t.Helper()
+
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true,
+		BasicConstraintsValid: true, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	require.NoError(t, err)
+
+	encoded, err := x509.MarshalPKCS8PrivateKey(key)
+	require.NoError(t, err)
+
+	dir := t.TempDir()
+	files := settings.TLS{Authority: filepath.Join(dir, "c"), Certificate: filepath.Join(dir, "c"),
+		Key: filepath.Join(dir, "k")}
+	require.NoError(t, os.WriteFile(files.Certificate,
+		pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: certificate}), 0o600))
+	require.NoError(t, os.WriteFile(files.Key, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: encoded}), 0o600))
+
+	return files
+}
+
+// Guards against a listener with mutual TLS that serves clients without a certificate of the authority.
+func TestCertificateIsNeeded(t *testing.T) {
+	clock, quiet := timer.NewManual(time.Unix(0, 0)), slog.New(slog.DiscardHandler)
+	files := selfSigned(t)
+
+	keys, err := security.NewKeys(files, clock, quiet)
+	require.NoError(t, err)
+
+	stranger, err := security.NewKeys(selfSigned(t), clock, quiet)
+	require.NoError(t, err)
+
+	control := &fake{status: &controlpb.StatusReply{Leader: "c1"}}
+	server, err := New(Options{Web: web.Options{Address: netip.MustParseAddrPort(loopback), Logger: quiet,
+		TLS: keys.Server(security.Optional), Gate: security.Gate{Certificates: true}}, Control: control})
+	require.NoError(t, err)
+
+	defer func() { require.NoError(t, server.Close(t.Context())) }()
+
+	ask := func(configure func(host string) *tls.Config) error {
+		_, err := NewClient(Target{Addresses: []netip.AddrPort{server.Address()}, TLS: configure}).Status(t.Context())
+
+		return err
+	}
+
+	require.NoError(t, ask(keys.Client))
+	require.Len(t, control.received(), 1)
+
+	require.ErrorIs(t, ask(stranger.Client), ErrNoAnswer)
+	require.Error(t, ask(nil), "plain HTTP")
+
+	anonymous := func(host string) *tls.Config {
+		config := keys.Client(host)
+		config.GetClientCertificate = nil
+
+		return config
+	}
+	require.Equal(t, result.Authentication, result.CodeOf(ask(anonymous)))
+
+	// A client that trusts the server but presents a certificate of another authority.
+	forged := func(host string) *tls.Config {
+		config := keys.Client(host)
+		config.GetClientCertificate = stranger.Client(host).GetClientCertificate
+
+		return config
+	}
+	require.Error(t, ask(forged))
+	require.Len(t, control.received(), 1, "only the first request reached control")
+}
+
 // Guards against a listener off loopback without authentication.
 func TestOpenListenerIsRefused(t *testing.T) {
 	_, err := New(Options{Web: web.Options{Address: netip.MustParseAddrPort("0.0.0.0:0"),
