--- a/cmd/almondgrade/apply.go
+++ b/cmd/almondgrade/apply.go
@@ -79,6 +79,11 @@
 		a.Base = &number
 	}
 
+	// The id is printed first, so that it is known if the command is interrupted.
+	if err := a.print("change id %s, based on %d\n", a.ID, *a.Base); err != nil {
+		return err
+	}
+
 	reply, err := client.Apply(ctx, &controlpb.Change{
 		Id: a.ID, Base: *a.Base, Author: a.Author, Settings: content, Dry: a.Dry,
 	})
@@ -138,17 +143,14 @@
 		return err
 	}
 
-	if reply.GetRepeated() {
-		return a.print("accepted before, this is the first answer\nnumber %d\nchange id %s\n", reply.GetNumber(), a.ID)
-	}
-
-	word := "accepted"
-	if a.Dry {
-		word = "dry run, nothing changed"
+	switch {
+	case reply.GetRepeated():
+		return a.print("accepted before as number %d\n", reply.GetNumber())
+	case a.Dry:
+		return a.print("dry run, number %d stays; difference:\n%s", reply.GetNumber(), orNone(reply.GetDifference()))
+	default:
+		return a.print("accepted as number %d; difference:\n%s", reply.GetNumber(), orNone(reply.GetDifference()))
 	}
-
-	return a.print("%s\nnumber %d, based on %d\nchange id %s\ndifference:\n%s", word, reply.GetNumber(), *a.Base, a.ID,
-		orNone(reply.GetDifference()))
 }
 
 // orNone returns a difference, or a line that says that there is none.
