--- a/cmd/almondgrade/apply.go
+++ b/cmd/almondgrade/apply.go
@@ -79,6 +79,11 @@
 		a.Base = &number
 	}
 
+	// The id is printed first, so that it is known if the command is interrupted.
+	if err := a.print("change id %s, based on %d\n", a.ID, *a.Base); err != nil {
+		return err
+	}
+
 	reply, err := client.Apply(ctx, &controlpb.Change{
 		Id: a.ID, Base: *a.Base, Author: a.Author, Settings: content, Dry: a.Dry,
 	})
@@ -133,27 +138,28 @@
 		return fmt.Errorf("%w\nsend the change again with %s", err, again)
 	case result.CodeOf(err) == result.NumberNotCurrent:
 		return fmt.Errorf("%w\ncurrent number %d by %s; difference between it and the change:\n%s", err,
-			reply.GetNumber(), reply.GetAuthor(), reply.GetDifference())
+			reply.GetNumber(), reply.GetAuthor(), orNone(reply.GetDifference()))
 	case err != nil:
 		return err
 	}
 
-	word := "accepted"
-
 	switch {
-	case a.Dry:
-		word = "dry run, nothing changed"
 	case reply.GetRepeated():
-		word = "accepted before, this is the first answer"
+		return a.print("accepted before as number %d\n", reply.GetNumber())
+	case a.Dry:
+		return a.print("dry run, number %d stays; difference:\n%s", reply.GetNumber(), orNone(reply.GetDifference()))
+	default:
+		return a.print("accepted as number %d; difference:\n%s", reply.GetNumber(), orNone(reply.GetDifference()))
 	}
+}
 
-	difference := reply.GetDifference()
+// orNone returns a difference, or a line that says that there is none.
+func orNone(difference string) string {
 	if difference == "" {
-		difference = "none\n"
+		return "none\n"
 	}
 
-	return a.print("%s\nnumber %d, based on %d\nchange id %s\ndifference:\n%s", word, reply.GetNumber(), *a.Base, a.ID,
-		difference)
+	return difference
 }
 
 // unknownOutcome reports whether a change may have been accepted although no acceptance was read.
