core/replog, io/disk: add model and fault tests

Cause: the log must keep its promises through loss, partitions, crashes and failing disks. Change: a simulation of whole groups with rapid, a disk in memory that crashes or fails at each operation, tests of damage, repair and locks. Two faults found and fixed: the leader asked the target of a transfer to stand for election on every Advance, so its effects never ended (TestSimulation); a start refused a folder in which a later segment replaces an entry of a removed one (TestCrashAtEachOperation, -rapid.seed=).

--- a/core/replog/membership.go
+++ b/core/replog/membership.go
@@ -171,15 +171,16 @@
 		return ErrTransferring
 	}
 
-	n.transferee, n.transfer = to, 0
+	n.transferee, n.transfer, n.urged = to, 0, false
 	n.hurryTransfer()
 
 	return nil
 }
 
-// hurryTransfer makes the chosen member start an election once it holds the whole log.
+// hurryTransfer makes the chosen member start an election once it holds the whole log, at most once per heartbeat.
 func (n *Node) hurryTransfer() {
-	if n.role == Leader && n.transferee != 0 && n.matched(n.transferee) == n.log.last() {
+	if n.role == Leader && n.transferee != 0 && !n.urged && n.matched(n.transferee) == n.log.last() {
+		n.urged = true
 		n.send(Message{Kind: TimeoutNow, To: n.transferee})
 	}
 }
--- a/core/replog/node.go
+++ b/core/replog/node.go
@@ -124,6 +124,8 @@
 	lost       []uint64
 	transferee ID
 	transfer   int
+	// urged reports whether the transferee was asked to start an election since the last heartbeat.
+	urged bool
 
 	incoming  *incoming
 	installed *Snapshot
@@ -210,6 +212,7 @@
 	if n.heartbeat >= n.options.HeartbeatTicks {
 		n.heartbeat = 0
 		n.announce = true
+		n.urged = false
 	}
 
 	if n.transferee != 0 {
@@ -217,6 +220,8 @@
 		if n.transfer >= n.options.ElectionTicks {
 			n.transferee = 0
 		}
+
+		n.hurryTransfer()
 	}
 
 	if n.elapsed >= n.options.ElectionTicks {
--- /dev/null
+++ b/io/disk/log_test.go
@@ -0,0 +1,478 @@
+package disk_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"almondgrade/core/replog"
+	"almondgrade/io/disk"
+)
+
+const folder = "/data"
+
+// writer makes the changes that a node makes and remembers what it was told is durable, and what it was writing.
+type writer struct {
+	random  *rand.Rand
+	log     *disk.Log
+	durable replog.Saved
+	// attempt is the state after the operation that failed, unless none did.
+	attempt *replog.Saved
+}
+
+func (w *writer) last() (index, term uint64) {
+	if count := len(w.durable.Entries); count > 0 {
+		return w.durable.Entries[count-1].Index, w.durable.Entries[count-1].Term
+	}
+
+	return w.durable.Snapshot.Index, w.durable.Snapshot.Term
+}
+
+// entries draws entries that follow the log, or that replace a part after the snapshot.
+func (w *writer) entries(term uint64) []replog.Entry {
+	last, _ := w.last()
+	first := w.durable.Snapshot.Index + 1 + uint64(w.random.IntN(int(last-w.durable.Snapshot.Index)+1))
+
+	if w.random.IntN(4) > 0 {
+		first = last + 1
+	}
+
+	var entries []replog.Entry
+	for i := range 1 + w.random.IntN(4) {
+		data := make([]byte, w.random.IntN(60))
+		for j := range data {
+			data[j] = byte(w.random.Uint32())
+		}
+
+		entries = append(entries, replog.Entry{Index: first + uint64(i), Term: term, Kind: replog.Command, Data: data})
+	}
+
+	return entries
+}
+
+// step makes one change. It returns the error of the log.
+func (w *writer) step() error {
+	next := replog.Saved{
+		State: w.durable.State, Snapshot: w.durable.Snapshot, Entries: slices.Clone(w.durable.Entries),
+	}
+	last, _ := w.last()
+
+	var err error
+
+	switch action := w.random.IntN(12); {
+	case action == 0 && last > next.Snapshot.Index:
+		keep := 1 + w.random.IntN(len(next.Entries))
+		at := next.Entries[keep-1]
+		next.Snapshot = replog.Snapshot{Index: at.Index, Term: at.Term, Data: []byte(fmt.Sprint("state ", at.Index))}
+		next.Entries = next.Entries[keep:]
+		w.attempt = &next
+		err = w.log.Compact(next.Snapshot)
+	case action == 1:
+		next.State.Term += 1 + uint64(w.random.IntN(2))
+		next.State.Vote = 0
+		next.Snapshot = replog.Snapshot{
+			Index: last + 1 + uint64(w.random.IntN(5)), Term: next.State.Term, Data: []byte("installed"),
+		}
+		next.Entries = nil
+		w.attempt = &next
+		err = w.log.Save(&next.State, &next.Snapshot, nil)
+	case action < 4:
+		next.State.Term++
+		next.State.Vote = replog.ID(w.random.IntN(3))
+		w.attempt = &next
+		err = w.log.Save(&next.State, nil, nil)
+	default:
+		if next.State.Term == 0 {
+			next.State.Term = 1
+		}
+
+		entries := w.entries(next.State.Term)
+		keep := entries[0].Index - next.Snapshot.Index - 1
+		next.Entries = append(next.Entries[:keep:keep], entries...)
+		w.attempt = &next
+		err = w.log.Save(&next.State, nil, entries)
+	}
+
+	if err == nil {
+		w.durable, w.attempt = next, nil
+	}
+
+	return err
+}
+
+// normal makes two states comparable.
+func normal(saved replog.Saved) string {
+	return fmt.Sprintf("%v %v %v %s %v", saved.State, saved.Snapshot.Index, saved.Snapshot.Term, saved.Snapshot.Data,
+		saved.Entries)
+}
+
+// acceptable reports whether what was found after a crash may be there: everything confirmed, and of the interrupted
+// change all, nothing, or one of its steps.
+func (w *writer) acceptable(found replog.Saved) bool {
+	if normal(found) == normal(w.durable) {
+		return true
+	}
+
+	if w.attempt == nil {
+		return false
+	}
+
+	if normal(found) == normal(*w.attempt) {
+		return true
+	}
+
+	// A snapshot of the leader is saved after the state that came with it.
+	between := w.durable
+	between.State = w.attempt.State
+
+	return normal(found) == normal(between)
+}
+
+// Guards against a crash at any operation that loses confirmed data, invents data, or makes the folder unusable.
+func TestCrashAtEachOperation(t *testing.T) {
+	crashes, steps, kinds := 0, 0, make(map[string]int)
+
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		files := newMemory(seed)
+		w := &writer{random: rand.New(rand.NewPCG(seed, 3))}
+		options := disk.Options{Folder: folder, Files: files, SegmentSize: 400}
+		identified := false
+
+		for range rapid.IntRange(3, 12).Draw(t, "lives") {
+			files.restart()
+			files.crashAt = 1 + w.random.IntN(40)
+
+			var err error
+			if w.log, err = disk.Open(options); err != nil {
+				require.ErrorIs(t, err, errCrashed)
+				crashes++
+
+				continue
+			}
+
+			saved, err := w.log.Load()
+			require.NoError(t, err)
+			require.True(t, w.acceptable(saved), "durable %s\nattempt %v\nfound %s", normal(w.durable), w.attempt,
+				normal(saved))
+			w.durable, w.attempt = saved, nil
+
+			_, found := w.log.Identity()
+			require.True(t, found || !identified, "the identity is lost")
+
+			if !found {
+				if w.log.Identify(disk.Identity{Name: "a", ID: 7}) != nil {
+					crashes++
+
+					continue
+				}
+			}
+
+			identified = true
+
+			for {
+				if err := w.step(); err != nil {
+					require.ErrorIs(t, err, errCrashed)
+					crashes++
+
+					break
+				}
+
+				steps++
+			}
+		}
+
+		for kind, count := range files.kinds {
+			kinds[kind] += count
+		}
+	})
+
+	t.Logf("crashes %d, changes %d, operations %v", crashes, steps, kinds)
+	require.NotZero(t, crashes)
+	require.NotZero(t, steps)
+
+	for _, kind := range []string{"write", "sync", "create", "rename", "remove", "truncate", "sync folder"} {
+		require.NotZero(t, kinds[kind], kind)
+	}
+}
+
+// Guards against a log that retries after a failed operation, or that confirms what it could not store.
+func TestFailureIsFinal(t *testing.T) {
+	failures, kinds := 0, make(map[string]int)
+
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		files := newMemory(seed)
+		w := &writer{random: rand.New(rand.NewPCG(seed, 3))}
+
+		var err error
+		w.log, err = disk.Open(disk.Options{Folder: folder, Files: files, SegmentSize: 400})
+		require.NoError(t, err)
+		require.NoError(t, w.log.Identify(disk.Identity{Name: "a", ID: 7}))
+
+		files.failAt = files.operations + 1 + w.random.IntN(60)
+
+		for err == nil {
+			err = w.step()
+		}
+
+		var failed *disk.FailedError
+
+		require.ErrorAs(t, err, &failed)
+		require.ErrorIs(t, err, errInjected)
+
+		kinds[failed.Operation]++
+		failures += files.failed
+
+		// Nothing touches the disk any more, although it would work.
+		operations := files.operations
+		attempt := *w.attempt
+
+		for range 5 {
+			require.ErrorIs(t, w.step(), errInjected)
+		}
+
+		require.ErrorIs(t, w.log.Identify(disk.Identity{Name: "b", ID: 8}), errInjected)
+		require.Equal(t, operations, files.operations)
+
+		require.NoError(t, w.log.Close())
+		w.attempt = &attempt
+
+		reopened, err := disk.Open(disk.Options{Folder: folder, Files: files, SegmentSize: 400})
+		require.NoError(t, err)
+
+		saved, err := reopened.Load()
+		require.NoError(t, err)
+		require.True(t, w.acceptable(saved), "durable %s\nattempt %v\nfound %s", normal(w.durable), w.attempt,
+			normal(saved))
+	})
+
+	t.Logf("failures %d by operation %v", failures, kinds)
+	require.NotZero(t, failures)
+	require.NotZero(t, kinds["write"])
+	require.NotZero(t, kinds["sync"])
+}
+
+// fill writes some records over several segments to a real folder.
+func fill(t *testing.T, path string) {
+	t.Helper()
+
+	log, err := disk.Open(disk.Options{Folder: path, SegmentSize: 300})
+	require.NoError(t, err)
+	require.NoError(t, log.Identify(disk.Identity{Name: "a", ID: 7}))
+
+	state := replog.State{Term: 1}
+
+	for index := uint64(1); index <= 30; index++ {
+		entry := replog.Entry{Index: index, Term: 1, Kind: replog.Command, Data: []byte("some command")}
+		require.NoError(t, log.Save(&state, nil, []replog.Entry{entry}))
+
+		if index == 20 {
+			require.NoError(t, log.Compact(replog.Snapshot{Index: 20, Term: 1, Data: []byte("state")}))
+		}
+	}
+
+	require.NoError(t, log.Close())
+}
+
+func segments(t *testing.T, path string) []string {
+	t.Helper()
+
+	found, err := filepath.Glob(filepath.Join(path, "log-*.seg"))
+	require.NoError(t, err)
+	slices.Sort(found)
+	require.Greater(t, len(found), 2)
+
+	return found
+}
+
+func flip(t *testing.T, file string, offset int) {
+	t.Helper()
+
+	content, err := os.ReadFile(file)
+	require.NoError(t, err)
+
+	content[offset] ^= 0x10
+	require.NoError(t, os.WriteFile(file, content, 0o600))
+}
+
+// Guards against a start with damaged or missing synced data, and against a repair that keeps it.
+func TestDamageIsRefusedAndRepaired(t *testing.T) {
+	t.Parallel()
+
+	const firstRecord = 28
+
+	for _, test := range []struct {
+		name   string
+		damage func(t *testing.T, path string)
+		file   string
+	}{
+		{"record in the first segment", func(t *testing.T, path string) {
+			t.Helper()
+			flip(t, segments(t, path)[0], firstRecord+20)
+		}, "log-"},
+		{"record in the last segment", func(t *testing.T, path string) {
+			t.Helper()
+			flip(t, slices.Max(segments(t, path)), firstRecord+20)
+		}, "log-"},
+		{"length of a record", func(t *testing.T, path string) {
+			t.Helper()
+			flip(t, slices.Max(segments(t, path)), firstRecord+5)
+		}, "log-"},
+		{"header", func(t *testing.T, path string) {
+			t.Helper()
+			flip(t, slices.Max(segments(t, path)), 17)
+		}, "log-"},
+		{"missing segment", func(t *testing.T, path string) {
+			t.Helper()
+			require.NoError(t, os.Remove(segments(t, path)[1]))
+		}, "log-"},
+		{"all segments missing", func(t *testing.T, path string) {
+			t.Helper()
+
+			for _, file := range segments(t, path) {
+				require.NoError(t, os.Remove(file))
+			}
+		}, "log-"},
+		{"snapshot", func(t *testing.T, path string) {
+			t.Helper()
+			flip(t, filepath.Join(path, "snapshot-0000000000000020.snap"), 20)
+		}, "snapshot-"},
+		{"missing snapshot", func(t *testing.T, path string) {
+			t.Helper()
+			require.NoError(t, os.Remove(filepath.Join(path, "snapshot-0000000000000020.snap")))
+		}, "log-"},
+		{"identity", func(t *testing.T, path string) {
+			t.Helper()
+			flip(t, filepath.Join(path, "identity"), 15)
+		}, "identity"},
+		{"missing identity", func(t *testing.T, path string) {
+			t.Helper()
+			require.NoError(t, os.Remove(filepath.Join(path, "identity")))
+		}, "identity"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			path := t.TempDir()
+			fill(t, path)
+
+			test.damage(t, path)
+
+			_, err := disk.Open(disk.Options{Folder: path})
+
+			var corrupt *disk.CorruptError
+
+			require.ErrorAs(t, err, &corrupt)
+			require.True(t, strings.HasPrefix(filepath.Base(corrupt.File), test.file), corrupt.File)
+			require.Contains(t, err.Error(), corrupt.File)
+			require.Contains(t, err.Error(), "offset")
+			require.Contains(t, err.Error(), "almondgrade repair")
+
+			report, err := disk.Repair(disk.Options{Folder: path})
+			require.NoError(t, err)
+			require.Error(t, report.Damage)
+			require.NotEmpty(t, report.Moved)
+
+			log, err := disk.Open(disk.Options{Folder: path})
+			require.NoError(t, err)
+
+			_, found := log.Identity()
+			require.False(t, found, "a repaired member must not keep its identity")
+			require.NoError(t, log.Close())
+
+			kept, err := filepath.Glob(filepath.Join(report.Aside, "*"))
+			require.NoError(t, err)
+			require.Len(t, kept, len(report.Moved), "a repair deletes nothing")
+		})
+	}
+}
+
+// Guards against a repair that takes an intact log out of use.
+func TestRepairLeavesIntactFolderAlone(t *testing.T) {
+	t.Parallel()
+
+	path := t.TempDir()
+	fill(t, path)
+
+	report, err := disk.Repair(disk.Options{Folder: path})
+	require.NoError(t, err)
+	require.NoError(t, report.Damage)
+	require.Empty(t, report.Moved)
+
+	log, err := disk.Open(disk.Options{Folder: path})
+	require.NoError(t, err)
+
+	identity, found := log.Identity()
+	require.True(t, found)
+	require.Equal(t, replog.ID(7), identity.ID)
+
+	saved, err := log.Load()
+	require.NoError(t, err)
+	require.Len(t, saved.Entries, 10)
+	require.NoError(t, log.Close())
+}
+
+// Guards against a start that refuses or keeps what a crash cut off at any byte of the last record.
+func TestTornTailIsTruncated(t *testing.T) {
+	t.Parallel()
+
+	path := t.TempDir()
+	fill(t, path)
+
+	last := slices.Max(segments(t, path))
+	content, err := os.ReadFile(last)
+	require.NoError(t, err)
+
+	torn := 0
+
+	for size := len(content) - 1; size >= 0; size-- {
+		copied := filepath.Join(t.TempDir(), "copy")
+		require.NoError(t, os.CopyFS(copied, os.DirFS(path)))
+		require.NoError(t, os.WriteFile(filepath.Join(copied, filepath.Base(last)), content[:size], 0o600))
+
+		log, err := disk.Open(disk.Options{Folder: copied})
+		require.NoError(t, err, "cut at %d", size)
+
+		saved, err := log.Load()
+		require.NoError(t, err)
+
+		for i, entry := range saved.Entries {
+			require.Equal(t, uint64(21+i), entry.Index)
+		}
+
+		require.NoError(t, log.Close())
+
+		torn++
+	}
+
+	require.NotZero(t, torn)
+}
+
+// Guards against two processes in one folder.
+func TestFolderIsLocked(t *testing.T) {
+	t.Parallel()
+
+	path := t.TempDir()
+	log, err := disk.Open(disk.Options{Folder: path})
+	require.NoError(t, err)
+
+	_, err = disk.Open(disk.Options{Folder: path})
+	require.ErrorIs(t, err, disk.ErrLocked)
+
+	_, err = disk.Repair(disk.Options{Folder: path})
+	require.ErrorIs(t, err, disk.ErrLocked)
+	require.NoError(t, log.Close())
+
+	log, err = disk.Open(disk.Options{Folder: path})
+	require.NoError(t, err)
+	require.NoError(t, log.Close())
+	require.Error(t, log.Save(&replog.State{Term: 1}, nil, nil), "a closed log must not confirm a write")
+}
--- a/io/disk/recover.go
+++ b/io/disk/recover.go
@@ -225,7 +225,12 @@
 	}
 
 	if entry.Index <= l.start.Index {
-		return fmt.Sprintf("entry %d replaces an entry before the segment's position %d", entry.Index, l.start.Index)
+		// The replaced entry was in a segment that a later snapshot made superfluous.
+		if entry.Index > l.saved.Snapshot.Index {
+			return fmt.Sprintf("entry %d replaces one before the log's position %d", entry.Index, l.start.Index)
+		}
+
+		l.saved.Entries, l.start = nil, position{Index: entry.Index - 1}
 	}
 
 	l.saved.Entries = l.saved.Entries[:entry.Index-l.start.Index-1]
