--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -235,6 +235,14 @@
 	return p.open, len(p.idle)
 }
 
+// Waiting returns the number of requests that wait for a connection.
+func (p *Pool) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return len(p.waiters)
+}
+
 // Idle returns the time since a connection was last used.
 func (c *Conn) Idle(now time.Time) time.Duration {
 	return now.Sub(c.since)
--- /dev/null
+++ b/io/backend/pool_test.go
@@ -0,0 +1,492 @@
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"almondgrade/core/position"
+	"almondgrade/core/result"
+	"almondgrade/io/backend"
+)
+
+const patience = 20 * time.Second
+
+func within(require.TestingT) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), patience)
+}
+
+// server is a backend server that answers every query with one row.
+type server struct {
+	listener net.Listener
+	opened   atomic.Int64
+	cancels  atomic.Int64
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+func newServer(t *testing.T) *server {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+
+	s := &server{listener: listener}
+
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+
+			s.mu.Lock()
+			s.conns = append(s.conns, conn)
+			s.mu.Unlock()
+
+			go s.serve(conn)
+		}
+	}()
+
+	return s
+}
+
+func (s *server) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+
+	to := pgproto3.NewBackend(conn, conn)
+
+	startup, err := to.ReceiveStartupMessage()
+	if err != nil {
+		return
+	}
+
+	message, ok := startup.(*pgproto3.StartupMessage)
+	if !ok {
+		s.cancels.Add(1)
+
+		return
+	}
+
+	number := s.opened.Add(1)
+
+	if message.Parameters["user"] == "refused" {
+		to.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "28000", Message: "refused"})
+		_ = to.Flush()
+
+		return
+	}
+
+	to.Send(&pgproto3.AuthenticationOk{})
+	to.Send(&pgproto3.ParameterStatus{Name: "application", Value: message.Parameters["application_name"]})
+	to.Send(&pgproto3.BackendKeyData{ProcessID: uint32(number), SecretKey: []byte{1, 2, 3, 4}})
+	to.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+
+	for to.Flush() == nil {
+		message, err := to.Receive()
+		if err != nil {
+			return
+		}
+
+		query, ok := message.(*pgproto3.Query)
+		if !ok {
+			return
+		}
+
+		status := byte('I')
+
+		switch query.String {
+		case "BEGIN":
+			status = 'T'
+		case "fail":
+			to.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "42601", Message: "failed"})
+			to.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+
+			continue
+		case "half":
+			to.Send(&pgproto3.CommandComplete{CommandTag: []byte("half")})
+
+			continue
+		}
+
+		to.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{Name: []byte("n")}}})
+		to.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(strconv.FormatInt(number, 10))}})
+		to.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+		to.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	}
+}
+
+// closeAll ends the connections as a restart of the server does.
+func (s *server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for _, conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+func (s *server) options() backend.Options {
+	return backend.Options{
+		Address:     netip.MustParseAddrPort(s.listener.Addr().String()),
+		Login:       func() (backend.Login, error) { return backend.Login{User: "u", Database: "d"}, nil },
+		Application: func() string { return "ag/p1/1" },
+		Connect:     patience,
+	}
+}
+
+// permits counts permits and refuses beyond a limit.
+type permits struct {
+	limit int64
+	held  atomic.Int64
+	most  atomic.Int64
+}
+
+var errNoPermit = errors.New("no permit")
+
+type permit struct {
+	from *permits
+	once sync.Once
+}
+
+func (p *permit) Release() { p.once.Do(func() { p.from.held.Add(-1) }) }
+
+func (p *permits) acquire(context.Context, bool) (backend.Permit, error) {
+	held := p.held.Add(1)
+	if held > p.limit {
+		p.held.Add(-1)
+
+		return nil, errNoPermit
+	}
+
+	p.most.Store(max(p.most.Load(), held))
+
+	return &permit{from: p}, nil
+}
+
+// Guards against a connection that two requests use at once, one that is used again in spite of an unread answer or
+// an open transaction, more connections than permits, and a state that is not found although it is idle. The naive
+// version is a list of idle connections.
+func TestPoolReuse(t *testing.T) {
+	s := newServer(t)
+
+	rapid.Check(t, func(t *rapid.T) {
+		allowed := &permits{limit: int64(rapid.IntRange(1, 4).Draw(t, "permits"))}
+		pool := backend.NewPool(s.options(), allowed.acquire)
+
+		type record struct {
+			settings string
+			readOnly bool
+			term     position.Term
+		}
+
+		held := map[*backend.Conn]bool{}
+		idle := map[*backend.Conn]record{}
+
+		t.Repeat(map[string]func(*rapid.T){
+			"get": func(t *rapid.T) {
+				want := backend.Want{
+					Settings: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "settings"),
+					ReadOnly: rapid.Bool().Draw(t, "read only"),
+					Term:     position.Term(rapid.IntRange(1, 2).Draw(t, "term")),
+				}
+				fits, exact := 0, 0
+
+				for _, one := range idle {
+					if one.term == want.Term {
+						fits++
+
+						if one.settings == want.Settings && one.readOnly == want.ReadOnly {
+							exact++
+						}
+					}
+				}
+
+				full := allowed.held.Load() == allowed.limit
+				ctx, cancel := within(t)
+
+				conn, err := pool.Get(ctx, want, false)
+
+				cancel()
+
+				if fits == 0 && full {
+					require.ErrorIs(t, err, errNoPermit)
+
+					return
+				}
+
+				require.NoError(t, err)
+				require.False(t, held[conn], "the connection is in use")
+				require.Equal(t, want.Term, conn.Term)
+
+				was, known := idle[conn]
+				require.Equal(t, fits > 0, known)
+
+				if exact > 0 {
+					require.Equal(t, record{want.Settings, want.ReadOnly, want.Term}, was)
+				}
+
+				held[conn] = true
+				delete(idle, conn)
+			},
+			"put": func(t *rapid.T) {
+				for conn := range held {
+					delete(held, conn)
+
+					conn.Settings = rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "settings")
+					conn.ReadOnly = rapid.Bool().Draw(t, "read only")
+					reusable := true
+
+					switch rapid.SampledFrom([]string{"clean", "query", "error", "open", "tainted", "unread"}).Draw(t, "use") {
+					case "query":
+						require.NoError(t, conn.Exec(time.Now().Add(patience), "SELECT"))
+					case "error":
+						require.Equal(t, "42601", backend.StateOf(conn.Exec(time.Now().Add(patience), "fail")))
+					case "open":
+						require.NoError(t, conn.Exec(time.Now().Add(patience), "BEGIN"))
+
+						reusable = false
+					case "tainted":
+						conn.Taint()
+
+						reusable = false
+					case "unread":
+						require.Error(t, conn.Exec(time.Now().Add(time.Millisecond), "half"))
+
+						reusable = false
+					}
+
+					pool.Put(conn)
+
+					if reusable {
+						idle[conn] = record{conn.Settings, conn.ReadOnly, conn.Term}
+					}
+
+					return
+				}
+			},
+			"reap": func(t *rapid.T) {
+				term := position.Term(rapid.IntRange(1, 2).Draw(t, "term"))
+
+				pool.Reap(time.Now(), func(conn *backend.Conn, _ time.Duration) bool { return conn.Term == term })
+
+				for conn, one := range idle {
+					if one.term == term {
+						delete(idle, conn)
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				open, free := pool.Size()
+				require.Equal(t, len(held)+len(idle), open)
+				require.Equal(t, len(idle), free)
+				require.EqualValues(t, open, allowed.held.Load(), "permits are held by open connections only")
+			},
+		})
+
+		for conn := range held {
+			pool.Put(conn)
+		}
+
+		pool.Close()
+		require.Zero(t, allowed.held.Load(), "every permit was returned")
+	})
+}
+
+// Guards against a connection that the server has closed and that is handed out nevertheless.
+func TestPoolSkipsConnectionsThatTheServerClosed(t *testing.T) {
+	s := newServer(t)
+	allowed := &permits{limit: 3}
+	pool := backend.NewPool(s.options(), allowed.acquire)
+
+	ctx, cancel := within(t)
+	defer cancel()
+
+	for range 10 {
+		first, err := pool.Get(ctx, backend.Want{}, false)
+		require.NoError(t, err)
+		pool.Put(first)
+		s.closeAll()
+		require.Eventually(t, func() bool { return !first.Alive() }, patience, time.Millisecond)
+
+		second, err := pool.Get(ctx, backend.Want{}, false)
+		require.NoError(t, err)
+		require.NotSame(t, first, second)
+		require.NoError(t, second.Exec(time.Now().Add(patience), "SELECT"))
+		pool.Put(second)
+	}
+
+	assert.EqualValues(t, 1, allowed.held.Load())
+}
+
+// Guards against requests that wait for ever although a connection was returned, against one that is served out of
+// turn, and against permits that are lost with a request that gave up.
+func TestPoolWaiters(t *testing.T) {
+	s := newServer(t)
+	granted := make(chan struct{}, 1)
+	allowed := &permits{limit: 100}
+	pool := backend.NewPool(s.options(), func(ctx context.Context, urgent bool) (backend.Permit, error) {
+		select {
+		case granted <- struct{}{}:
+			return allowed.acquire(ctx, urgent)
+		case <-ctx.Done():
+			return nil, result.New(result.NoPermit, "no permit in time")
+		}
+	})
+
+	ctx, cancel := within(t)
+	defer cancel()
+
+	only, err := pool.Get(ctx, backend.Want{}, false)
+	require.NoError(t, err)
+
+	type served struct {
+		urgent bool
+		conn   *backend.Conn
+	}
+
+	order := make(chan served, 3)
+
+	for range 2 {
+		go func() {
+			conn, err := pool.Get(ctx, backend.Want{}, false)
+			if err == nil {
+				order <- served{false, conn}
+			}
+		}()
+	}
+
+	require.Eventually(t, func() bool { return pool.Waiting() == 2 }, patience, time.Millisecond)
+
+	go func() {
+		conn, err := pool.Get(ctx, backend.Want{}, true)
+		if err == nil {
+			order <- served{true, conn}
+		}
+	}()
+
+	require.Eventually(t, func() bool { return pool.Waiting() == 3 }, patience, time.Millisecond)
+
+	impatient, stop := context.WithCancel(ctx)
+	gave := make(chan error, 1)
+
+	go func() {
+		_, err := pool.Get(impatient, backend.Want{}, false)
+		gave <- err
+	}()
+
+	require.Eventually(t, func() bool { return pool.Waiting() == 4 }, patience, time.Millisecond)
+	stop()
+	require.Error(t, <-gave)
+
+	pool.Put(only)
+
+	for i := range 3 {
+		next := <-order
+		assert.Equal(t, i == 0, next.urgent, "the urgent request goes first")
+		assert.Same(t, only, next.conn)
+		pool.Put(next.conn)
+	}
+
+	assert.EqualValues(t, 1, allowed.held.Load())
+}
+
+// Guards against a failed login that leaves a permit behind or has no code.
+func TestPoolFailedLogin(t *testing.T) {
+	s := newServer(t)
+	allowed := &permits{limit: 1}
+	options := s.options()
+	options.Login = func() (backend.Login, error) { return backend.Login{User: "refused"}, nil }
+	pool := backend.NewPool(options, allowed.acquire)
+
+	ctx, cancel := within(t)
+	defer cancel()
+
+	_, err := pool.Get(ctx, backend.Want{}, false)
+	assert.Equal(t, result.ServerUnreachable, result.CodeOf(err))
+	assert.Zero(t, allowed.held.Load())
+	assert.Zero(t, pool.Waiting())
+}
+
+// Guards against a connection that is used again after a cancel request, which may take effect late.
+func TestCancelTaints(t *testing.T) {
+	s := newServer(t)
+	pool := backend.NewPool(s.options(), (&permits{limit: 2}).acquire)
+
+	ctx, cancel := within(t)
+	defer cancel()
+
+	conn, err := pool.Get(ctx, backend.Want{}, false)
+	require.NoError(t, err)
+	require.NoError(t, conn.Cancel(ctx))
+	assert.EqualValues(t, 1, s.cancels.Load())
+	pool.Put(conn)
+
+	open, idle := pool.Size()
+	assert.Zero(t, open)
+	assert.Zero(t, idle)
+}
+
+// Guards against statements that are forgotten although they are in use, or that exceed the limit. The naive version
+// is a slice in order of use.
+func TestPrepared(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 5).Draw(t, "limit")
+		prepared := backend.NewPrepared(limit)
+
+		var naive []string
+
+		remove := func(name string) bool {
+			for i, one := range naive {
+				if one == name {
+					naive = append(naive[:i:i], naive[i+1:]...)
+
+					return true
+				}
+			}
+
+			return false
+		}
+
+		for range rapid.IntRange(0, 50).Draw(t, "steps") {
+			name := strconv.Itoa(rapid.IntRange(0, 7).Draw(t, "name"))
+
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0:
+				found := remove(name)
+				if found {
+					naive = append(naive, name)
+				}
+
+				require.Equal(t, found, prepared.Use(name))
+			case 1, 2:
+				want := ""
+
+				remove(name)
+
+				if naive = append(naive, name); len(naive) > limit {
+					want, naive = naive[0], naive[1:]
+				}
+
+				require.Equal(t, want, prepared.Add(name))
+			default:
+				remove(name)
+				prepared.Remove(name)
+			}
+
+			require.Equal(t, len(naive), prepared.Len())
+		}
+	})
+}
