internal/coordinator: test barriers and confirmations in changing terms

TestAcknowledgedWritesAreCovered drives two coordinators with views of their own over simulated members that follow, are fenced, promoted, attached and rewound, while old primaries go on writing.

--- a/core/permit/machine_test.go
+++ b/core/permit/machine_test.go
@@ -559,7 +559,7 @@
 	}
 }
 
-func (w *world) changeLimits(t *rapid.T) {
+func (w *world) changeLimits(*rapid.T) {
 	epoch := w.epochs[len(w.epochs)-1]
 	grown := w.limits
 	// Only growing limits are changed under load: after a decrease the permits beyond stay valid, and the check
--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -61,7 +61,7 @@
 				return
 			case <-changed:
 				changed = options.Source.Changed()
-				c.apply()
+				c.apply() //nolint:contextcheck // Coordinators have their own life.
 			}
 		}
 	})
--- a/internal/coordination/helpers_test.go
+++ b/internal/coordination/helpers_test.go
@@ -189,7 +189,7 @@
 // stop ends a proxy as a crash does: it tells nobody.
 func (p *process) stop() {
 	p.server.Stop()
-	p.Coordination.Close()
+	p.Close()
 	p.timer.Close()
 }
 
--- a/internal/coordination/link.go
+++ b/internal/coordination/link.go
@@ -49,7 +49,7 @@
 	// tried is the time at which the coordinator was last asked.
 	tried time.Time
 	used  time.Time
-	hints   []string
+	hints []string
 
 	// next and sequence number the permits and the reports.
 	next     uint64
@@ -223,7 +223,7 @@
 		ctx, cancel := context.WithTimeout(parent, limit)
 		defer cancel()
 
-		return ask(ctx, l.directly())
+		return ask(ctx, l.directly()) //nolint:contextcheck // The direct connections outlive the call.
 	}
 
 	var none T
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -153,13 +153,13 @@
 	conn, err := options.Open(ctx, server,
 		coordinator.Application(options.Name, options.Instance, coordinator.KindProbe))
 	if err != nil {
-		return &peerpb.ProbeReply{Reason: err.Error()}, nil //nolint:nilerr // The failure is the answer.
+		return &peerpb.ProbeReply{Reason: err.Error()}, nil
 	}
 	defer conn.Close()
 
 	seen, err := conn.Observe(ctx)
 	if err != nil {
-		return &peerpb.ProbeReply{Reason: err.Error()}, nil //nolint:nilerr // The failure is the answer.
+		return &peerpb.ProbeReply{Reason: err.Error()}, nil
 	}
 
 	reply := &peerpb.ProbeReply{Reachable: true, Recovery: seen.Recovery, Term: uint64(seen.Follow.Term)}
--- a/internal/coordination/target.go
+++ b/internal/coordination/target.go
@@ -36,7 +36,7 @@
 // Confirm implements target.
 func (l local) Confirm(ctx context.Context, term position.Term, unreplaced bool) (position.Position, error) {
 	if unreplaced {
-		return l.Coordinator.Unreplaced(ctx, term)
+		return l.Unreplaced(ctx, term)
 	}
 
 	return l.Coordinator.Confirm(ctx, term)
--- /dev/null
+++ b/internal/coordinator/safety_test.go
@@ -0,0 +1,355 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+	"pgregory.net/rapid"
+
+	"almondgrade/core/failover"
+	"almondgrade/core/position"
+	"almondgrade/core/registry"
+	"almondgrade/core/timer"
+	"almondgrade/internal/coordinator"
+	"almondgrade/io/backend"
+)
+
+// simulation is a group whose members keep their logs as lists of writes; the LSN is the length. Replicas follow, are
+// fenced, promoted and attached, old primaries go on writing, and two coordinators learn of it at different times.
+type simulation struct {
+	mutex   sync.Mutex
+	members []*simulatedMember
+	// group is the truth that control has recorded.
+	group registry.Group
+	views []*atomic.Pointer[registry.View]
+	// acknowledged are the writes that a quorum confirmed.
+	acknowledged []written
+	next         int
+	barriers     int
+	promotions   int
+}
+
+type simulatedMember struct {
+	index    int
+	follow   backend.Follow
+	recovery bool
+	log      []int
+	down     bool
+}
+
+type written struct {
+	id int
+	at position.Position
+}
+
+// connection is a simulated administrative connection.
+type connection struct {
+	owner  *simulation
+	member *simulatedMember
+}
+
+func name(index int) string { return fmt.Sprintf("db%d", index) }
+
+func prefix(short, long []int) bool {
+	return len(short) <= len(long) && slices.Equal(short, long[:len(short)])
+}
+
+func (c connection) Observe(context.Context) (backend.Observation, error) {
+	c.owner.mutex.Lock()
+	defer c.owner.mutex.Unlock()
+
+	m := c.member
+	if m.down {
+		return backend.Observation{}, eris.New("down")
+	}
+
+	end := position.LSN(len(m.log))
+	seen := backend.Observation{Recovery: m.recovery, Follow: m.follow, Received: end, Replayed: end}
+
+	if m.recovery {
+		return seen, nil
+	}
+
+	seen.Insert = end
+
+	for _, other := range c.owner.members {
+		if other.recovery && !other.follow.Fenced && other.follow.Term == m.follow.Term && prefix(other.log, m.log) {
+			seen.Followers = append(seen.Followers,
+				backend.Follower{Follow: other.follow, Flushed: position.LSN(len(other.log))})
+		}
+	}
+
+	return seen, nil
+}
+
+func (c connection) Connections(context.Context) (map[string]int, error) { return nil, nil }
+
+func (c connection) Terminate(context.Context, string) error { return nil }
+
+func (c connection) Close() {}
+
+func newSimulation(t *rapid.T) *simulation {
+	s := &simulation{group: registry.Group{
+		Name: "db", Term: 1, Primary: name(0), Phase: registry.PhaseStable,
+		History: position.NewHistory(position.Begin{Term: 1}),
+	}}
+
+	for i := range rapid.SampledFrom([]int{1, 2, 3, 3, 4, 5}).Draw(t, "members") {
+		s.members = append(s.members, &simulatedMember{
+			index: i, recovery: i > 0, follow: backend.Follow{Term: 1, Name: name(i)},
+		})
+		s.group.Members = append(s.group.Members, name(i))
+	}
+
+	return s
+}
+
+// start returns a coordinator with a view of its own.
+func (s *simulation) start() *coordinator.Coordinator {
+	view := &atomic.Pointer[registry.View]{}
+	s.views = append(s.views, view)
+	view.Store(s.view())
+
+	return coordinator.New(coordinator.Options{
+		Proxy: "p1", Instance: 1, Group: "db", Epoch: 1, View: view.Load,
+		Confirmed: func() bool { return true },
+		Open: func(_ context.Context, server registry.Server, _ string) (coordinator.Admin, error) {
+			for _, member := range s.members {
+				if name(member.index) == server.Name {
+					return connection{owner: s, member: member}, nil
+				}
+			}
+
+			return nil, eris.New("unknown")
+		},
+		Timer: timer.NewManual(time.Unix(50, 0)), Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry(),
+	})
+}
+
+func (s *simulation) view() *registry.View {
+	view := &registry.View{Groups: map[string]registry.Group{"db": s.group}, Servers: map[string]registry.Server{}}
+	for _, member := range s.members {
+		view.Servers[name(member.index)] = registry.Server{Name: name(member.index), Group: "db"}
+	}
+
+	return view
+}
+
+func (s *simulation) draw(t *rapid.T) *simulatedMember {
+	return rapid.SampledFrom(s.members).Draw(t, "member")
+}
+
+// replicate copies a part of the log of the primary of a replica's term.
+func (s *simulation) replicate(t *rapid.T) {
+	replica := s.draw(t)
+
+	for _, primary := range s.members {
+		if replica.recovery && !replica.follow.Fenced && !primary.recovery &&
+			primary.follow.Term == replica.follow.Term && prefix(replica.log, primary.log) {
+			end := rapid.IntRange(len(replica.log), len(primary.log)).Draw(t, "end")
+			replica.log = slices.Clone(primary.log[:end])
+		}
+	}
+}
+
+// promote makes the best of a fence quorum the primary of the next term.
+func (s *simulation) promote(t *rapid.T) {
+	var fenced []*simulatedMember
+
+	for _, member := range s.members {
+		if member.recovery && member.follow.Fenced && member.follow.Term == s.group.Term {
+			fenced = append(fenced, member)
+		}
+	}
+
+	if len(fenced) < failover.FenceQuorum(len(s.members)) {
+		t.Skip("no fence quorum")
+	}
+
+	best := slices.MaxFunc(fenced, func(a, b *simulatedMember) int { return len(a.log) - len(b.log) })
+	s.promotions++
+	s.group.Term++
+	s.group.Primary = name(best.index)
+	s.group.History = position.NewHistory(append(s.group.History.Begins(),
+		position.Begin{Term: s.group.Term, LSN: position.LSN(len(best.log))})...)
+	best.recovery, best.follow = false, backend.Follow{Term: s.group.Term, Name: name(best.index)}
+}
+
+// attach makes a replica follow the present term; an old primary is rewound first. A replica whose log has a part that
+// was discarded keeps it, and can't follow.
+func (s *simulation) attach(t *rapid.T) {
+	member := s.draw(t)
+	if name(member.index) == s.group.Primary {
+		t.Skip("primary")
+	}
+
+	if !member.recovery {
+		for _, begin := range s.group.History.Begins() {
+			if begin.Term > member.follow.Term {
+				member.log = member.log[:min(len(member.log), int(begin.LSN))]
+
+				break
+			}
+		}
+
+		member.recovery = true
+	}
+
+	member.follow = backend.Follow{Term: s.group.Term, Name: name(member.index)}
+}
+
+// check fails if a member that may serve a read after the barrier lacks an acknowledged write.
+func (s *simulation) check(t *rapid.T, before []written, history position.History, answer coordinator.Answer) {
+	for _, write := range before {
+		if !s.group.History.Covers(answer.Position, write.at) {
+			t.Fatalf("the barrier %s does not cover the acknowledged write %s", answer.Position, write.at)
+		}
+	}
+
+	for _, seen := range answer.Observations {
+		if !seen.Reachable || !history.Covers(seen.Replayed, answer.Position) {
+			continue
+		}
+
+		for _, member := range s.members {
+			for _, write := range before {
+				if name(member.index) == seen.Server && !slices.Contains(member.log, write.id) {
+					t.Fatalf("%s at %s lacks the write %s, barrier %s", seen.Server, seen.Replayed, write.at,
+						answer.Position)
+				}
+			}
+		}
+	}
+}
+
+// TestAcknowledgedWritesAreCovered guards against a barrier, or a replica that seems fresh after it, that lacks a write
+// which was acknowledged before, and against acknowledged writes that a change of primary loses.
+func TestAcknowledgedWritesAreCovered(t *testing.T) {
+	t.Parallel()
+
+	var acknowledged, barriers, promotions int
+
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t)
+		coordinators := []*coordinator.Coordinator{s.start(), s.start()}
+
+		for _, one := range coordinators {
+			defer one.Close()
+		}
+
+		short := func() (context.Context, context.CancelFunc) {
+			return context.WithTimeout(context.Background(), 4*time.Millisecond)
+		}
+		locked := func(action func(t *rapid.T)) func(t *rapid.T) {
+			return func(t *rapid.T) {
+				s.mutex.Lock()
+				defer s.mutex.Unlock()
+
+				action(t)
+			}
+		}
+
+		replicate := locked(s.replicate)
+		write := locked(func(t *rapid.T) {
+			if member := s.draw(t); !member.recovery && !member.down {
+				s.next++
+				member.log = append(member.log, s.next)
+			}
+		})
+		confirm := func(t *rapid.T) {
+			at := rapid.IntRange(0, 1).Draw(t, "coordinator")
+			group := s.views[at].Load().Groups["db"]
+
+			s.mutex.Lock()
+
+			var commits []written
+
+			for _, member := range s.members {
+				if name(member.index) == group.Primary {
+					for i, id := range member.log {
+						lsn := position.LSN(i + 1)
+						if lsn > begin(group.History, group.Term) {
+							commits = append(commits, written{id, position.Position{Term: group.Term, LSN: lsn}})
+						}
+					}
+				}
+			}
+
+			s.mutex.Unlock()
+
+			ctx, cancel := short()
+			defer cancel()
+
+			if _, err := coordinators[at].Confirm(ctx, group.Term); err == nil {
+				s.acknowledged = append(s.acknowledged, commits...)
+			}
+		}
+		barrier := func(t *rapid.T) {
+			at := rapid.IntRange(0, 1).Draw(t, "coordinator")
+			history := s.views[at].Load().Groups["db"].History
+
+			ctx, cancel := short()
+			defer cancel()
+
+			if answer, err := coordinators[at].Barrier(ctx); err == nil {
+				s.barriers++
+				s.check(t, s.acknowledged, history, answer)
+			}
+		}
+
+		t.Repeat(map[string]func(*rapid.T){
+			"write": write, "write again": write, "write more": write,
+			"replicate": replicate, "replicate again": replicate, "replicate more": replicate,
+			"confirm": confirm, "confirm again": confirm,
+			"barrier": barrier, "barrier again": barrier,
+			"fence": locked(func(t *rapid.T) {
+				if member := s.draw(t); member.recovery && member.follow.Term == s.group.Term {
+					member.follow.Fenced = true
+				}
+			}),
+			"promote": locked(s.promote),
+			"attach":  locked(s.attach),
+			"go down": locked(func(t *rapid.T) {
+				member := s.draw(t)
+				member.down = rapid.IntRange(0, 3).Draw(t, "down") == 0
+			}),
+			"learn": func(t *rapid.T) {
+				at := rapid.IntRange(0, 1).Draw(t, "coordinator")
+				s.mutex.Lock()
+				view := s.view()
+				s.mutex.Unlock()
+				s.views[at].Store(view)
+				coordinators[at].Update()
+			},
+		})
+
+		acknowledged += len(s.acknowledged)
+		barriers += s.barriers
+		promotions += s.promotions
+	})
+
+	if acknowledged == 0 || barriers == 0 || promotions == 0 {
+		t.Fatalf("%d writes acknowledged, %d barriers, %d promotions: the test showed nothing", acknowledged, barriers,
+			promotions)
+	}
+
+	t.Logf("%d writes acknowledged, %d barriers, %d promotions", acknowledged, barriers, promotions)
+}
+
+func begin(history position.History, term position.Term) position.LSN {
+	for _, begin := range history.Begins() {
+		if begin.Term == term {
+			return begin.LSN
+		}
+	}
+
+	return 0
+}
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -170,7 +169,7 @@
 	address := listener.Addr().(*net.TCPAddr).AddrPort()
 	require.NoError(t, listener.Close())
 
-	client, err := peer.Dial(netip.AddrPort(address), peer.Options{})
+	client, err := peer.Dial(address, peer.Options{})
 	require.NoError(t, err)
 
 	defer client.Close()
