--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -217,11 +217,15 @@
 	}
 
 	s.fatal(err)
+
+	if code := result.CodeOf(err); code == result.Protocol || code == result.TooLarge {
+		s.caller.Linger()
+	}
 }
 
 func (s *session) fatal(err error) {
 	s.server.counters.refused(err)
-	s.caller.Fatal(err)
+	s.caller.Fatal(response(err))
 }
 
 // message serves one message. Its errors end the session.
