--- a/internal/daemon/proxy.go
+++ b/internal/daemon/proxy.go
@@ -266,4 +266,3 @@
 		_ = close(ctx)
 	}
 }
-
--- a/io/control/client.go
+++ b/io/control/client.go
@@ -44,8 +44,8 @@
 	number   atomic.Uint32
 	draining atomic.Bool
 	// until is the end of the lease, as time since start.
-	until  atomic.Int64
-	start  time.Time
+	until atomic.Int64
+	start time.Time
 
 	mutex   sync.Mutex
 	changed chan struct{}
