internal/proxy, io/backend: detect a backend connection that has gone silent

A write waited for the 30 s deadline, and transactions that the server still held open on forgotten connections kept their locks. Change: when no byte has come for 1 s, the proxy asks the server over a new connection whether it still works on the statement; if it twice does not, the connection is given up (1401 for a write, another attempt for a read). A connection that is closed while the server may still work for it is terminated at the server by its name.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -87,12 +87,15 @@
 	}
 
 	stop := s.guard(ctx, x.conn)
+	watched := s.watchSilence(held)
 	status, err := x.run()
 
 	if err == nil && x.wrapped {
 		status, err = x.endOnce()
 	}
 
+	err = watched.end(err)
+
 	stop()
 
 	if err != nil {
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -48,6 +48,7 @@
 	server string
 	// identity tells a server that returned under the same name from the one that the pool connects to.
 	identity string
+	inquirer *backend.Inquirer
 	load     atomic.Int64
 }
 
@@ -82,16 +83,19 @@
 		pool.Close()
 	}
 
-	pool = &serverPool{server: server.Name, identity: identity}
-	pool.Pool = backend.NewPool(backend.Options{
+	acquire := func(ctx context.Context, urgent bool) (backend.Permit, error) {
+		return p.coordination.Connection(ctx, server.Name, urgent)
+	}
+	options := backend.Options{
 		Address:     server.Address,
 		Login:       func() (backend.Login, error) { return p.login(database) },
 		Application: func() string { return "ag/" + p.name + "/" + strconv.FormatUint(p.number.Add(1), 10) },
 		Connect:     connectTimeout,
 		TLS:         p.tls,
-	}, func(ctx context.Context, urgent bool) (backend.Permit, error) {
-		return p.coordination.Connection(ctx, server.Name, urgent)
-	})
+	}
+	pool = &serverPool{server: server.Name, identity: identity, inquirer: backend.NewInquirer(options, acquire)}
+	options.Abandoned = pool.inquirer.Terminate
+	pool.Pool = backend.NewPool(options, acquire)
 	p.pools[key] = pool
 
 	return pool
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -45,6 +45,9 @@
 	Connect time.Duration
 	// TLS enables encryption if it is not nil.
 	TLS *tls.Config
+	// Abandoned is told of each connection that a Pool closes while the server may still work for it. It may be
+	// nil and must not block.
+	Abandoned func(*Conn)
 }
 
 // ServerError is an error that the server sent.
@@ -89,13 +92,16 @@
 	Term position.Term
 
 	net     net.Conn
+	reads   *monitored
 	raw     syscall.RawConn
 	address netip.AddrPort
 	process uint32
 	secret  []byte
-	tainted atomic.Bool
-	permit  Permit
-	since   time.Time
+	// application is the name under which the server shows the connection.
+	application string
+	tainted     atomic.Bool
+	permit      Permit
+	since       time.Time
 }
 
 // Open connects and logs in. Its errors carry result.ServerUnreachable.
@@ -150,11 +156,13 @@
 	}
 
 	conn.net = connection
-	conn.Reader = wire.NewReader(connection, 0)
+	conn.reads = &monitored{Conn: connection}
+	conn.Reader = wire.NewReader(conn.reads, 0)
 	conn.Writer = wire.NewWriter(connection)
 
+	conn.application = options.Application()
 	startup := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{
-		"user": account.User, "database": account.Database, "application_name": options.Application(),
+		"user": account.User, "database": account.Database, "application_name": conn.application,
 	}}
 	if err := conn.Send(startup); err != nil {
 		return nil, err
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -344,11 +344,17 @@
 }
 
 func (p *Pool) discard(conn *Conn) {
+	working := conn.Status != statusIdle
+
 	conn.Close()
 
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
+
+	if working && p.options.Abandoned != nil {
+		p.options.Abandoned(conn)
+	}
 }
 
 func errLeft(options Options) error {
