internal/standin: end writers whose client is unreachable

Cause: the stand-in has one lock for all writers, so a client that was lost in an open transaction blocked every write for the lost timeout of a minute; a real server blocks only writes of the same rows. Found by reading the code.

Change: a waiter ends the writing session if its client stays unreachable for a second.

Conclusion: TestUnreachableWriterIsEnded covers silent loss and a partition.

--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -9,7 +9,7 @@
 // (and flushed) and what its readers see are separate positions, with a settable delay before each.
 //
 // Transactions follow READ COMMITTED, except that writers exclude each other from their first write to their end.
-// A statement that waits for a lock gives its slot back meanwhile. Statements are replayed on replicas in commit
+// A statement that waits for a lock gives its slot back meanwhile, and ends a writer whose client is unreachable. Statements are replayed on replicas in commit
 // order with the time and the random numbers of the primary. A column default of now() is the exception: it
 // is evaluated on each member.
 //
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -53,13 +54,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	blocked := f.frozen
-
-	for _, p := range f.partitions {
-		blocked = blocked || strings.HasPrefix(peer, p.peer) && (p.direction == Both || p.direction == direction)
-	}
+	return f.frozen || f.partitionedLocked(peer, direction), f.changed
+}
 
-	return blocked, f.changed
+func (f *faults) partitionedLocked(peer string, direction Direction) bool {
+	return slices.ContainsFunc(f.partitions, func(p partition) bool {
+		return strings.HasPrefix(peer, p.peer) && (p.direction == Both || p.direction == direction)
+	})
 }
 
 // wait returns true when traffic with a peer may flow, and false if stop closes first.
@@ -149,6 +150,16 @@
 	l.peer.Store(&peer)
 }
 
+// unreachable reports whether a partition or silent loss keeps traffic from the peer.
+func (l *link) unreachable() bool {
+	l.faults.mu.Lock()
+	defer l.faults.mu.Unlock()
+
+	peer := *l.peer.Load()
+
+	return l.lost.Load() || l.faults.partitionedLocked(peer, In) || l.faults.partitionedLocked(peer, Out)
+}
+
 func (l *link) whenLost(act func()) {
 	l.faults.mu.Lock()
 	defer l.faults.mu.Unlock()
--- a/internal/standin/fault_test.go
+++ b/internal/standin/fault_test.go
@@ -461,6 +461,23 @@
 	exec(t, connect(t, m, "ag/p2"), "SELECT 1")
 }
 
+// Guards against a lost client whose open transaction blocks the writes of all others.
+func TestUnreachableWriterIsEnded(t *testing.T) {
+	t.Parallel()
+
+	m := start(t, standin.Options{Name: "db0", Primary: true})
+	conn := connect(t, m, "app")
+	exec(t, conn, "CREATE TABLE t (v int)")
+
+	for _, loss := range []func(){func() { m.LoseConnections() }, func() { m.Cut("ag/p1", standin.In) }} {
+		exec(t, connect(t, m, "ag/p1"), "BEGIN; INSERT INTO t VALUES (1)", pgx.QueryExecModeSimpleProtocol)
+		loss()
+		exec(t, connect(t, m, "ag/p2"), "INSERT INTO t VALUES (2)")
+	}
+
+	assert.Equal(t, int64(2), number(t, connect(t, m, "app"), "SELECT count(*) FROM t"))
+}
+
 // Guards against a planned switchover in which the old primary accepts new writes, or breaks open ones.
 func TestReadOnlyBySystemSetting(t *testing.T) {
 	t.Parallel()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -31,6 +31,7 @@
 	running  sync.WaitGroup
 	// writer is held by the transaction that writes.
 	writer   chan struct{}
+	holder   atomic.Pointer[session]
 	advisory *advisoryLocks
 	primary  atomic.Bool
 	// replayed is the LSN up to which readers see the log.
@@ -253,19 +254,43 @@
 	}
 }
 
+// abandonAfter is the time after which a waiter ends the writing session of an unreachable client. A real server
+// would block only those who want the same rows; the lock of the stand-in would block every write.
+const abandonAfter = time.Second
+
 // lockWriter waits until no other transaction writes.
-func (srv *server) lockWriter(ctx context.Context) error {
-	select {
-	case srv.writer <- struct{}{}:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
+func (srv *server) lockWriter(ctx context.Context, s *session) error {
+	ticker := time.NewTicker(abandonAfter)
+	defer ticker.Stop()
+
+	var suspect *session
+
+	for {
+		select {
+		case srv.writer <- struct{}{}:
+			srv.holder.Store(s)
+			return nil
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-ticker.C:
+			holder := srv.holder.Load()
+			if holder == nil || !holder.link.unreachable() {
+				holder = nil
+			}
+
+			if holder != nil && holder == suspect {
+				holder.terminate()
+			}
+
+			suspect = holder
+		}
 	}
 }
 
-func (srv *server) tryLockWriter() bool {
+func (srv *server) tryLockWriter(s *session) bool {
 	select {
 	case srv.writer <- struct{}{}:
+		srv.holder.Store(s)
 		return true
 	default:
 		return false
@@ -273,6 +298,7 @@
 }
 
 func (srv *server) unlockWriter() {
+	srv.holder.Store(nil)
 	<-srv.writer
 }
 
--- a/internal/standin/transaction.go
+++ b/internal/standin/transaction.go
@@ -89,8 +89,8 @@
 		return nil
 	}
 
-	if !s.srv.tryLockWriter() {
-		err := s.withoutSlot(ctx, func() error { return s.srv.lockWriter(ctx) })
+	if !s.srv.tryLockWriter(s) {
+		err := s.withoutSlot(ctx, func() error { return s.srv.lockWriter(ctx, s) })
 		if err != nil {
 			return err
 		}
