--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -103,6 +103,42 @@
 	assert.Positive(t, result.Classes["clerk"].States["25006"], "writes to the replica are refused and must not count as lost")
 }
 
+// Guards against checks that accuse a system of losing or doubling writes whose connections broke.
+func TestRunAllowsUnknownOutcomes(t *testing.T) {
+	t.Parallel()
+
+	m := member(t, standin.Options{Name: "db0", Primary: true, Connections: 100})
+	ended := make(chan struct{})
+	restarts := make(chan int)
+
+	go func() {
+		for n := 0; ; n++ {
+			select {
+			case <-ended:
+				restarts <- n
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+
+			assert.NoError(t, m.Stop())
+			assert.NoError(t, m.Start())
+		}
+	}()
+
+	result, err := Run(t.Context(), options("kalasag", m, m))
+	close(ended)
+	assert.Positive(t, <-restarts)
+	require.NoError(t, err)
+	assert.False(t, result.Void, "%+v %v", result.Violations, result.Examples)
+
+	failed := 0
+	for _, c := range result.Classes {
+		failed += c.Arrivals - c.Answered
+	}
+
+	assert.Positive(t, failed)
+}
+
 func portOf(m *standin.Member) string {
 	return strconv.Itoa(int(m.Addr().Port()))
 }
