--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"almondgrade/core/position"
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
 	"almondgrade/core/settings"
@@ -415,3 +416,50 @@
 
 	assert.EqualValues(t, 1, c.proxies["p1"].count("retry_read_elsewhere"))
 }
+
+// Guards against a read in a term that the proxy has not heard of yet, and against a write that fails because the
+// primary was set read-only for a change of primary.
+func TestChangesOfPrimary(t *testing.T) {
+	var refusals atomic.Int64
+
+	one := newScript(t, func(to *pgproto3.Backend, sql string) bool {
+		if strings.HasPrefix(sql, "INSERT") && refusals.Add(1) <= 2 {
+			return fail(to, "25006")
+		}
+
+		return finish(to, "INSERT 0 1")
+	})
+	c := newCluster(t, options{scripts: []*script{one}})
+	conn := c.connect("p1", "")
+
+	c.exec(conn, "INSERT INTO t VALUES (1)")
+	assert.Len(t, one.seen(), 3, "two refusals and the run")
+	assert.EqualValues(t, 2, c.proxies["p1"].count("retry_not_run"))
+
+	var token position.Token
+
+	token.Raise(groupName, position.Position{Term: 2, LSN: 50})
+	c.exec(conn, "SET almondgrade.token = '"+token.String()+"'")
+
+	done := make(chan error, 1)
+
+	go func() {
+		_, err := conn.PgConn().Exec(context30(t), "SELECT v FROM t").ReadAll()
+		done <- err
+	}()
+
+	select {
+	case err := <-done:
+		t.Fatalf("the read did not wait for the view: %v", err)
+	case <-time.After(20 * time.Millisecond):
+	}
+
+	c.change(func(view *registry.View) {
+		group := view.Groups[groupName]
+		group.Term = 2
+		view.Groups[groupName] = group
+	})
+	require.NoError(t, <-done)
+	assert.Len(t, one.seen(), 4)
+	assert.EqualValues(t, 2, one.opened.Load(), "the connection of the old term is not used")
+}
--- a/internal/proxy/helpers_test.go
+++ b/internal/proxy/helpers_test.go
@@ -37,7 +37,7 @@
 
 // cluster is a group of stand-ins with proxies in front of it, in one process.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	members []*standin.Member
 	admins  []*backend.Admin
 	mu      []sync.Mutex
@@ -78,7 +78,7 @@
 	scripts []*script
 }
 
-func context30(t *testing.T) context.Context {
+func context30(t testing.TB) context.Context {
 	t.Helper()
 
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -90,7 +90,7 @@
 func memberName(i int) string { return fmt.Sprintf("db%d", i) }
 
 // newCluster starts a primary, replicas that are attached to it, and proxies.
-func newCluster(t *testing.T, o options) *cluster {
+func newCluster(t testing.TB, o options) *cluster {
 	t.Helper()
 
 	if o.slots == 0 {
@@ -257,7 +257,7 @@
 	require.NoError(c.t, err, sql)
 }
 
-func query[T any](t *testing.T, conn *pgx.Conn, sql string, args ...any) T {
+func query[T any](t testing.TB, conn *pgx.Conn, sql string, args ...any) T {
 	t.Helper()
 
 	var value T
@@ -266,7 +266,7 @@
 	return value
 }
 
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	require.Eventually(t, condition, patience, 2*time.Millisecond, what)
 }
@@ -444,7 +444,7 @@
 	}
 }
 
-func connectError(t *testing.T, url string) error {
+func connectError(t testing.TB, url string) error {
 	t.Helper()
 
 	conn, err := pgx.Connect(context30(t), url)
--- a/internal/proxy/once.go
+++ b/internal/proxy/once.go
@@ -383,6 +383,8 @@
 
 // outcome tells whether the request that the session named last has run. If it has not, it never will: a row with its
 // name is inserted, and whichever commits first decides.
+//
+//nolint:contextcheck // A confirmation has a deadline of its own.
 func (s *session) outcome(ctx context.Context) (string, error) {
 	if s.last == "" {
 		return "", result.New(result.NotFound, "the session has named no request")
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -27,7 +27,7 @@
 	queries []string
 }
 
-func newScript(t *testing.T, answer func(to *pgproto3.Backend, sql string) bool) *script {
+func newScript(t testing.TB, answer func(to *pgproto3.Backend, sql string) bool) *script {
 	t.Helper()
 
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
