--- a/cmd/almondgrade/main.go
+++ b/cmd/almondgrade/main.go
@@ -36,28 +36,42 @@
 	out io.Writer
 }
 
+// print writes formatted text.
+func (c console) print(format string, args ...any) error {
+	if _, err := fmt.Fprintf(c.out, format, args...); err != nil {
+		return fmt.Errorf("write output: %w", err)
+	}
+
+	return nil
+}
+
 func main() {
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
 // run parses and executes a command line and returns the exit code.
 func run(args []string, stdout, stderr io.Writer) int {
+	_, err := newParser(stdout).ParseArgs(args)
+
+	return report(err, stdout, stderr)
+}
+
+// newParser returns a parser with every subcommand.
+func newParser(stdout io.Writer) *flags.Parser {
 	parser := flags.NewNamedParser("almondgrade", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "database proxy with session consistency"
 	parser.LongDescription = "Exit codes: 0 done, 1 faults in settings, 2 wrong command line, 3 refused with a " +
 		"result code, 4 no answer and the outcome is unknown, 5 a process or file operation failed."
 
-	for _, add := range []func(*flags.Parser, console) error{addCheck} {
+	for _, add := range []func(*flags.Parser, console) error{
+		addCheck, addApply, addStatus, addDrain, addRepair, addProxy, addControl,
+	} {
 		if err := add(parser, console{out: stdout}); err != nil {
-			_, _ = fmt.Fprintln(stderr, err)
-
-			return ExitFailed
+			panic(err) // A subcommand's options don't parse, which no command line can change.
 		}
 	}
 
-	_, err := parser.ParseArgs(args)
-
-	return report(err, stdout, stderr)
+	return parser
 }
 
 // addCommand adds a subcommand whose long description ends with a working example.
@@ -95,7 +109,7 @@
 	switch {
 	case errors.As(err, &faults):
 		return ExitFaults
-	case errors.Is(err, errNoAnswer):
+	case unknownOutcome(err):
 		return ExitUnknown
 	case result.CodeOf(err) != result.OK:
 		return ExitRefused
@@ -103,6 +117,3 @@
 		return ExitFailed
 	}
 }
-
-// errNoAnswer is wrapped by errors of requests that got no answer.
-var errNoAnswer = errors.New("no answer; the outcome is unknown")
--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -61,7 +61,7 @@
 				return
 			case <-changed:
 				changed = options.Source.Changed()
-				c.apply()
+				c.apply() //nolint:contextcheck // Coordinators have their own life.
 			}
 		}
 	})
@@ -102,10 +102,10 @@
 	peer.Register(registrar, &service{owner: c})
 }
 
-// Application returns the application name that the pool's connections to backend servers have to carry, so that the
-// permits of a dead proxy return.
+// Application returns the beginning of the application name that connections to backend servers have to carry, such as
+// "ag/p1/00000000000000a7/". With it the permits of a dead process return, although another one of the same name runs.
 func (c *Coordination) Application() string {
-	return coordinator.Application(c.options.Name, c.options.Instance, coordinator.KindPool)
+	return coordinator.Application(c.options.Name, c.options.Instance, "")
 }
 
 // View implements proxy.Coordination.
@@ -152,11 +152,19 @@
 
 // Connection implements proxy.Coordination.
 func (c *Coordination) Connection(ctx context.Context, server string, urgent bool) (proxy.Permit, error) {
+	granted, err := c.acquire(ctx, server, permit.Connection, urgent)
+	if err != nil {
+		return nil, err
+	}
+
+	// Asked after the wait, because the permit of a proxy without its lease may have been taken back.
 	if !c.Confirmed() {
+		granted.Release()
+
 		return nil, result.New(result.Unconfirmed, "the proxy opens no connection without its configuration lease")
 	}
 
-	return c.acquire(ctx, server, permit.Connection, urgent)
+	return granted, nil
 }
 
 // Slot implements proxy.Coordination.
@@ -206,11 +214,11 @@
 		return result.New(result.NotFound, "the proxy has no view yet")
 	}
 
-	failed := error(result.New(result.NotFound, "no proxy has the number %d", process>>ProcessBits))
+	failed := error(result.New(result.NotFound, "no proxy has the number %d", process>>processBits))
 
 	// The key holds only the lower bits of the number, which several proxies may share. The secret decides.
 	for _, other := range view.Proxies {
-		if other.Number&numberMask != process>>ProcessBits || other.Name == c.options.Name {
+		if other.Number&numberMask != process>>processBits || other.Name == c.options.Name {
 			continue
 		}
 
--- a/internal/coordination/options.go
+++ b/internal/coordination/options.go
@@ -63,6 +63,10 @@
 	activeTime = 10 * time.Second
 	// failedTime is the time for which a failed server is avoided.
 	failedTime = time.Second
+	// failingTime is the time of failures only after which the members are asked directly.
+	failingTime = 2 * time.Second
+	// refreshTime is the age of observations above which new ones are asked for.
+	refreshTime = 250 * time.Millisecond
 	// answerMargin is the part of a caller's deadline that is kept for the way back of the answer, as a divisor.
 	answerMargin = 10
 	// leastBackoff and mostBackoff bound the time between attempts.
@@ -73,13 +77,12 @@
 	roundWidth = 4
 )
 
-// ProcessBits is the number of lower bits of a cancel key's process id that number the session; the upper bits
-// number the proxy. The topmost bit stays zero, because drivers
-// take the process id for a signed number.
-const ProcessBits = 20
-
-// numberMask selects the part of a proxy's number that a cancel key holds.
-const numberMask = 1<<(31-ProcessBits) - 1
+// processBits is the number of lower bits of a cancel key's process id that number the session; the upper bits hold
+// the lower bits of the proxy's number.
+const (
+	processBits = 16
+	numberMask  = 1<<16 - 1
+)
 
 func (o Options) withDefaults() Options {
 	if o.Logger == nil {
