--- a/internal/coordinator/safety_test.go
+++ b/internal/coordinator/safety_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"log/slog"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -56,6 +58,19 @@
 	member *simulatedMember
 }
 
+// steps is the mean number of steps of a simulation, enough for writes in several terms.
+const steps = "60"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+
+	if err := flag.Set("rapid.steps", steps); err != nil {
+		panic(err)
+	}
+
+	os.Exit(m.Run())
+}
+
 func name(index int) string { return fmt.Sprintf("db%d", index) }
 
 func prefix(short, long []int) bool {
@@ -161,7 +176,7 @@
 }
 
 // promote makes the best of a fence quorum the primary of the next term.
-func (s *simulation) promote(t *rapid.T) {
+func (s *simulation) promote(*rapid.T) {
 	var fenced []*simulatedMember
 
 	for _, member := range s.members {
@@ -171,7 +186,7 @@
 	}
 
 	if len(fenced) < failover.FenceQuorum(len(s.members)) {
-		t.Skip("no fence quorum")
+		return
 	}
 
 	best := slices.MaxFunc(fenced, func(a, b *simulatedMember) int { return len(a.log) - len(b.log) })
@@ -183,6 +198,42 @@
 	best.recovery, best.follow = false, backend.Follow{Term: s.group.Term, Name: name(best.index)}
 }
 
+// failOver fences some replicas, and promotes one if they are a fence quorum. Others may be attached at once.
+func (s *simulation) failOver(t *rapid.T) {
+	for _, member := range s.members {
+		if member.recovery && member.follow.Term == s.group.Term && rapid.IntRange(0, 4).Draw(t, "fence") > 0 {
+			member.follow.Fenced = true
+		}
+	}
+
+	s.promote(t)
+
+	for _, member := range s.members {
+		if member.recovery && rapid.Bool().Draw(t, "attach") {
+			member.follow = backend.Follow{Term: s.group.Term, Name: name(member.index)}
+		}
+	}
+}
+
+// writeEverywhere writes on the primary of the present term and copies its log to the replicas that follow it.
+func (s *simulation) writeEverywhere() {
+	for _, primary := range s.members {
+		if name(primary.index) != s.group.Primary || primary.recovery {
+			continue
+		}
+
+		s.next++
+		primary.log = append(primary.log, s.next)
+
+		for _, replica := range s.members {
+			if replica.recovery && !replica.follow.Fenced && replica.follow.Term == s.group.Term &&
+				prefix(replica.log, primary.log) {
+				replica.log = slices.Clone(primary.log)
+			}
+		}
+	}
+}
+
 // attach makes a replica follow the present term; an old primary is rewound first. A replica whose log has a part that
 // was discarded keeps it, and can't follow.
 func (s *simulation) attach(t *rapid.T) {
@@ -264,8 +315,7 @@
 				member.log = append(member.log, s.next)
 			}
 		})
-		confirm := func(t *rapid.T) {
-			at := rapid.IntRange(0, 1).Draw(t, "coordinator")
+		confirmBy := func(at int) {
 			group := s.views[at].Load().Groups["db"]
 
 			s.mutex.Lock()
@@ -292,6 +342,7 @@
 				s.acknowledged = append(s.acknowledged, commits...)
 			}
 		}
+		confirm := func(t *rapid.T) { confirmBy(rapid.IntRange(0, 1).Draw(t, "coordinator")) }
 		barrier := func(t *rapid.T) {
 			at := rapid.IntRange(0, 1).Draw(t, "coordinator")
 			history := s.views[at].Load().Groups["db"].History
@@ -317,6 +368,24 @@
 			}),
 			"promote": locked(s.promote),
 			"attach":  locked(s.attach),
+			"fail over": func(t *rapid.T) {
+				s.mutex.Lock()
+				s.failOver(t)
+				view := s.view()
+				s.mutex.Unlock()
+
+				// One coordinator usually knows sooner than the other.
+				at := rapid.IntRange(0, 1).Draw(t, "coordinator")
+				s.views[at].Store(view)
+				coordinators[at].Update()
+
+				if rapid.Bool().Draw(t, "write") {
+					s.mutex.Lock()
+					s.writeEverywhere()
+					s.mutex.Unlock()
+					confirmBy(at)
+				}
+			},
 			"go down": locked(func(t *rapid.T) {
 				member := s.draw(t)
 				member.down = rapid.IntRange(0, 3).Draw(t, "down") == 0
