--- a/io/disk/log.go
+++ b/io/disk/log.go
@@ -42,6 +42,10 @@
 	// last is the position of the log's last entry, start the one before the first entry that was replayed.
 	last  position
 	start position
+	// positioned reports whether a first record, which holds a position, was replayed.
+	positioned bool
+	// gap is the error to report unless a later segment closes the gap.
+	gap error
 
 	segments []segment
 	current  File
--- a/io/disk/recover.go
+++ b/io/disk/recover.go
@@ -111,15 +111,24 @@
 			continue
 		}
 
-		if err := l.readSegment(number, i == first, i == len(numbers)-1); err != nil {
+		if err := l.readSegment(number, i == len(numbers)-1); err != nil {
 			return err
 		}
 	}
 
+	if l.gap != nil {
+		return l.gap
+	}
+
+	// A segment may be left without a record by a crash, but never without a segment before it that holds some.
+	if len(numbers) > 0 && numbers[first] > 1 && !l.positioned {
+		return l.corrupt(l.segmentPath(numbers[first]), segmentHeader, "the segments before it are missing")
+	}
+
 	return nil
 }
 
-func (l *Log) readSegment(number uint64, first, last bool) error {
+func (l *Log) readSegment(number uint64, last bool) error {
 	path := l.segmentPath(number)
 
 	content, err := l.files.Read(path)
@@ -155,21 +164,19 @@
 			return l.corrupt(path, int64(offset), "a record can't be decoded")
 		}
 
-		if first && offset == segmentHeader && found.Position == nil {
-			return l.corrupt(path, int64(offset), "the first segment doesn't begin with a position")
+		if !l.positioned && found.Position == nil {
+			return l.corrupt(path, int64(offset), "the first record holds no position")
 		}
 
-		if reason := l.replay(found); reason != "" {
+		l.positioned = true
+
+		if reason := l.replay(found, path, int64(offset)); reason != "" {
 			return l.corrupt(path, int64(offset), reason)
 		}
 
 		offset += size
 	}
 
-	if first && number > 1 && offset == segmentHeader {
-		return l.corrupt(path, segmentHeader, "the segments before it are missing")
-	}
-
 	return nil
 }
 
@@ -193,13 +200,9 @@
 }
 
 // replay adds a record to what was saved. It returns a reason if the record doesn't fit.
-func (l *Log) replay(found record) string {
-	if found.Position != nil && *found.Position != l.last {
-		if found.Position.Index > l.saved.Snapshot.Index {
-			return fmt.Sprintf("the log continues at entry %d but ends at entry %d", found.Position.Index, l.last.Index)
-		}
-
-		l.saved.Entries, l.last = nil, *found.Position
+func (l *Log) replay(found record, path string, offset int64) string {
+	if found.Position != nil {
+		l.reposition(*found.Position, path, offset)
 	}
 
 	if found.State != nil {
@@ -215,7 +218,35 @@
 	return ""
 }
 
+// reposition continues the log where it stood when a segment began. A gap is only an error if no later segment begins
+// at or before the snapshot: the segments before a gap may have been removed after a snapshot replaced the log.
+func (l *Log) reposition(to position, path string, offset int64) {
+	switch {
+	case to.Index <= l.saved.Snapshot.Index:
+		if to != l.last || l.gap != nil {
+			l.saved.Entries = nil
+		}
+
+		l.gap = nil
+	case to != l.last && l.gap == nil:
+		l.gap = l.corrupt(path, offset, fmt.Sprintf("the log continues at entry %d but ends at entry %d", to.Index,
+			l.last.Index))
+		l.saved.Entries = nil
+	}
+
+	l.last = to
+}
+
 func (l *Log) replayEntry(entry replog.Entry) string {
+	current := &l.segments[len(l.segments)-1]
+	current.highest = max(current.highest, entry.Index)
+
+	if l.gap != nil {
+		l.last = position{entry.Index, entry.Term}
+
+		return ""
+	}
+
 	if entry.Index == 0 || entry.Index > l.last.Index+1 {
 		return fmt.Sprintf("entry %d follows entry %d", entry.Index, l.last.Index)
 	}
@@ -236,8 +267,6 @@
 	l.saved.Entries = l.saved.Entries[:entry.Index-l.start.Index-1]
 	l.saved.Entries = append(l.saved.Entries, entry)
 	l.last = position{entry.Index, entry.Term}
-	current := &l.segments[len(l.segments)-1]
-	current.highest = max(current.highest, entry.Index)
 
 	return ""
 }
