--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -9,6 +9,7 @@
 	"almondgrade/core/position"
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
+	"almondgrade/core/route"
 	"almondgrade/core/settings"
 	"almondgrade/core/statement"
 	"almondgrade/io/backend"
@@ -492,6 +493,7 @@
 
 	begin := time.Now()
 	wait := time.Duration(s.timing().ReplicaWait)
+	waits := 0
 
 	for {
 		view, group := s.view()
@@ -505,36 +507,30 @@
 		}
 
 		now := time.Now()
-		choice := s.server.options.Router.Read(ReadRequest{
-			View: view, Group: group, Observations: observations, Floor: floor, MaxAge: time.Duration(r.rule.MaxAge),
-			Now: now, Wait: wait - now.Sub(begin), Turn: s.server.turn.Add(1),
-			Avoid: func(server string) bool { return contains(r.avoid, server) },
-			Load: func(server string) int64 {
-				return s.server.pools.load(server, view.Running.Pools[s.target.pool].Database)
-			},
-		})
-
-		if server, known := view.Servers[choice.Server]; known && !choice.Wait {
-			if choice.Primary && server.Leaving {
-				view, server, err = s.choosePrimary(ctx, floor.Term)
-
-				return view, server, err
-			}
+		wanted := s.routeRequest(r, view, group, observations, now)
+		wanted.Floor, wanted.Wait = floor, wait-now.Sub(begin)
+		choice := s.server.options.Router.Choose(wanted)
 
-			s.chosen(choice, observations)
+		switch choice.Kind {
+		case route.Replica, route.Primary:
+			if server, known := view.Servers[choice.Server]; known {
+				s.chosen(choice, observations)
 
-			return view, server, nil
-		}
+				return view, server, nil
+			}
 
-		if !choice.Wait {
 			return s.choosePrimary(ctx, floor.Term)
+		case route.Nothing:
+			// Only the primary can serve the read, and it gets no new work at present.
+			return s.choosePrimary(ctx, floor.Term)
+		case route.Wait:
 		}
 
-		if now.Sub(begin) < viewPoll {
+		if waits++; waits == 1 {
 			s.server.counters.add(counterReplicaWait)
 		}
 
-		if err := pause(ctx, viewPoll); err != nil {
+		if err := pause(ctx, min(choice.Wait, viewPoll)); err != nil {
 			return nil, registry.Server{}, err
 		}
 
@@ -549,8 +545,8 @@
 
 // chosen counts a read and raises the session's floor to what the replica is known to show, so that a later read does
 // not go back behind it.
-func (s *session) chosen(choice ReadChoice, observations []Observation) {
-	if choice.Primary {
+func (s *session) chosen(choice route.Choice, observations []Observation) {
+	if choice.Kind == route.Primary {
 		s.server.counters.add(counterPrimaryReads)
 
 		return
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -1,92 +1,64 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
-	"almondgrade/core/position"
 	"almondgrade/core/registry"
+	"almondgrade/core/route"
 )
 
-// Router chooses the backend server for a read. It has no effects of its own.
+// Router chooses the backend server for a read. The policies of package route implement it.
 type Router interface {
-	Read(request ReadRequest) ReadChoice
+	Choose(request route.Request) route.Choice
 }
 
-// ReadRequest is what a choice depends on.
-type ReadRequest struct {
-	View         *registry.View
-	Group        *registry.Group
-	Observations []Observation
-	// Floor is the position that the server must cover. MaxAge bounds the age of its data, if it is not zero.
-	Floor  position.Position
-	MaxAge time.Duration
-	Now    time.Time
-	// Wait is how long the request may still wait for a replica.
-	Wait time.Duration
-	// Avoid reports whether a server failed this request before, Load how many statements of this proxy run on it.
-	Avoid func(server string) bool
-	Load  func(server string) int64
-	// Turn is a number that grows with each request, to spread reads over equal servers.
-	Turn uint64
-}
-
-// ReadChoice is the result of a choice.
-type ReadChoice struct {
-	// Server is the chosen server, or empty if no replica serves the read now.
-	Server string
-	// Primary is true if the server is the primary.
-	Primary bool
-	// Wait is true if a replica is expected to serve the read within the time that the request may wait.
-	Wait bool
-}
-
-// leastLoaded is the Router that takes the replica with the fewest running statements.
-type leastLoaded struct{}
-
-// Read implements Router.
-func (leastLoaded) Read(request ReadRequest) ReadChoice {
-	var (
-		choice ReadChoice
-		least  int64
-	)
+// candidates describes the servers of a group for a choice. The result is valid until the next call.
+func (s *session) candidates(r *request, view *registry.View, group *registry.Group, seen []Observation) []route.Server {
+	s.servers = s.servers[:0]
+	primary := false
 
-	count := len(request.Observations)
+	for i := range seen {
+		one := &seen[i]
 
-	for i := range request.Observations {
-		// Beginning elsewhere each time spreads reads over replicas with equal load.
-		seen := &request.Observations[(i+int(request.Turn%uint64(count)))%count]
-		if !usable(&request, seen) {
+		server, known := view.Servers[one.Server]
+		if !known || server.Group != group.Name {
 			continue
 		}
 
-		age := seen.Age + request.Now.Sub(seen.At)
-		if !request.Group.History.Covers(seen.Replayed, request.Floor) || request.MaxAge > 0 && age > request.MaxAge {
-			// A replica whose data was that young is close to the floor.
-			choice.Wait = choice.Wait || request.Wait > 0 && seen.Age <= request.Wait
-
-			continue
+		candidate := route.Server{
+			Name: one.Server, Centre: server.Centre, Primary: one.Server == group.Primary, Reachable: one.Reachable,
+			Leaving: server.Leaving, At: one.Replayed, Age: one.Age, Seen: one.At, Slots: server.Slots,
+			Running: int(s.server.pools.load(one.Server, view.Running.Pools[s.target.pool].Database)),
 		}
 
-		if load := request.Load(seen.Server); choice.Server == "" || load < least {
-			choice.Server, least = seen.Server, load
+		if candidate.Primary {
+			primary = true
+			// Whether the primary can be reached shows when the read gets there; there is no other choice by then.
+			candidate.Reachable = true
+		} else if one.Replayed.Term < group.Term || slices.Contains(r.avoid, one.Server) {
+			// A server of an old term may show what the change of primary has discarded.
+			candidate.Reachable = false
 		}
-	}
 
-	if choice.Server != "" {
-		choice.Wait = false
+		s.servers = append(s.servers, candidate)
 	}
 
-	if choice.Server == "" && !choice.Wait {
-		return ReadChoice{Server: request.Group.Primary, Primary: true}
+	if server, known := view.Servers[group.Primary]; known && !primary {
+		s.servers = append(s.servers, route.Server{
+			Name: group.Primary, Centre: server.Centre, Primary: true, Reachable: true, Leaving: server.Leaving, Slots: server.Slots,
+		})
 	}
 
-	return choice
+	return s.servers
 }
 
-// usable reports whether a server is a replica of the group's term that may get new work.
-func usable(request *ReadRequest, seen *Observation) bool {
-	server, known := request.View.Servers[seen.Server]
-
-	return known && seen.Reachable && seen.Server != request.Group.Primary && server.Group == request.Group.Name &&
-		!server.Leaving && seen.Replayed.Term >= request.Group.Term && !request.Avoid(seen.Server)
+// routeRequest returns what the choice for a read depends on.
+func (s *session) routeRequest(
+	r *request, view *registry.View, group *registry.Group, seen []Observation, now time.Time,
+) route.Request {
+	return route.Request{
+		Now: now, History: group.History, MaxAge: time.Duration(r.rule.MaxAge), Turn: s.server.turn.Add(1),
+		Centre: view.Proxies[s.server.options.Name].Centre, Servers: s.candidates(r, view, group, seen),
+	}
 }
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -19,6 +19,7 @@
 
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
+	"almondgrade/core/route"
 	"almondgrade/core/settings"
 	"almondgrade/io/caller"
 )
@@ -57,7 +58,7 @@
 	BackendTLS *tls.Config
 	// CallerLimit bounds the caller connections; zero means no limit but that of cancel keys.
 	CallerLimit int
-	// Router chooses servers for reads; nil means the built-in choice.
+	// Router chooses servers for reads; nil means the policy "fresh".
 	Router Router
 }
 
@@ -110,7 +111,7 @@
 	}
 
 	if options.Router == nil {
-		options.Router = leastLoaded{}
+		options.Router, _ = route.Named("fresh")
 	}
 
 	server := &Server{
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -15,6 +15,7 @@
 	"almondgrade/core/position"
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
+	"almondgrade/core/route"
 	"almondgrade/core/settings"
 	"almondgrade/core/statement"
 	"almondgrade/io/backend"
@@ -81,6 +82,8 @@
 	replay *replay
 
 	batch *batch
+	// servers is reused for the choices of the session.
+	servers []route.Server
 	// discarding is true after an error until Sync.
 	discarding bool
 
