--- a/internal/daemon/proxy.go
+++ b/internal/daemon/proxy.go
@@ -15,6 +15,7 @@
 	"almondgrade/core/position"
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
+	"almondgrade/core/route"
 	"almondgrade/core/settings"
 	"almondgrade/core/timer"
 	"almondgrade/internal/coordination"
@@ -42,6 +43,8 @@
 	Level    *slog.LevelVar
 	// Ready is called, if it is set, with the address for callers once the proxy listens.
 	Ready func(netip.AddrPort)
+	// Route names the routing policy of a proxy, for comparisons; empty means the default.
+	Route string
 }
 
 // proxyProcess holds the parts of a running proxy.
@@ -147,9 +150,18 @@
 		backends = p.keys.Client("")
 	}
 
+	var router proxy.Router
+
+	if p.Route != "" {
+		if router, err = route.Named(p.Route); err != nil {
+			return err //nolint:wrapcheck // It lists the names.
+		}
+	}
+
 	p.server = proxy.NewServer(proxy.Options{
 		Coordination: p.coordination, Name: p.Settings.VM.Name, Listener: listener, Logger: p.Logger,
 		Metrics: p.counters.Registry, TLS: callers, BackendTLS: backends, CallerLimit: p.Settings.VM.CallerLimit,
+		Router: router,
 	})
 
 	if p.Ready != nil {
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -25,7 +25,9 @@
 	// Members is the number of stand-ins, Lag the delay with which replicas show what they have received.
 	Members int
 	Lag     time.Duration
-	Logger  *slog.Logger
+	// Route names the routing policy of the proxies; empty means the default.
+	Route  string
+	Logger *slog.Logger
 	// Out receives the addresses and a client command once the system serves.
 	Out io.Writer
 }
@@ -34,6 +36,8 @@
 	poolName  = "main"
 	groupName = "group1"
 	userName  = "almond"
+	// browseAge is the age of data that traffic of applications named browse* accepts.
+	browseAge = 30 * time.Second
 	// serveLimit bounds the time until the system serves.
 	serveLimit = time.Minute
 )
@@ -67,7 +71,7 @@
 
 	for _, each := range []settings.Settings{first, other} {
 		group.Go(func() error {
-			return daemon.Proxy(ctx, daemon.Parts{Settings: each, Logger: options.Logger.With("vm", each.VM.Name)})
+			return daemon.Proxy(ctx, daemon.Parts{Settings: each, Logger: options.Logger.With("vm", each.VM.Name), Route: options.Route})
 		})
 	}
 
@@ -88,7 +92,12 @@
 func baseSettings(control netip.AddrPort) settings.Settings {
 	running := settings.Defaults()
 	running.Users = map[string]settings.User{userName: {}}
-	running.Pools = map[string]settings.Pool{poolName: {Groups: []string{groupName}, Database: "main"}}
+	running.Pools = map[string]settings.Pool{poolName: {
+		Groups: []string{groupName}, Database: "main", Traffic: []settings.Traffic{
+			{Name: "browse", Applications: []string{"browse*"}, MaxAge: settings.Duration(browseAge), Session: "connection"},
+			{Name: "urgent", Applications: []string{"inspector*", "urgent*"}, Urgent: true},
+		},
+	}}
 
 	return settings.Settings{
 		Format: settings.Format, Site: "local", Running: running,
