io/backend: observe a primary in one round trip

Observe asked for the end of the log and then for the followers, so that a barrier and each poll of a confirmation took two round trips to the primary, where the design counts one. Both statements now go in one message.

--- a/internal/coordination/helpers_test.go
+++ b/internal/coordination/helpers_test.go
@@ -37,7 +37,7 @@
 
 // cluster is a group of stand-ins and several proxies that coordinate it, all in this process.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	members []*standin.Member
 	view    atomic.Pointer[registry.View]
 	proxies map[string]*process
@@ -87,7 +87,7 @@
 }
 
 // newCluster starts stand-ins in term 1 and the named proxies; the first of them coordinates.
-func newCluster(t *testing.T, shape shape) *cluster {
+func newCluster(t testing.TB, shape shape) *cluster {
 	t.Helper()
 
 	c := &cluster{t: t, proxies: make(map[string]*process), changed: make(chan struct{})}
@@ -306,7 +306,7 @@
 	return listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
-func deadline(t *testing.T) context.Context {
+func deadline(t testing.TB) context.Context {
 	t.Helper()
 
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -315,7 +315,7 @@
 	return ctx
 }
 
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	require.Eventually(t, condition, patience, 2*time.Millisecond, what)
 }
--- a/io/backend/admin.go
+++ b/io/backend/admin.go
@@ -106,21 +106,23 @@
 
 // Observe asks the server for its role, term and positions.
 func (a *Admin) Observe(ctx context.Context) (Observation, error) {
-	rows, err := a.query(ctx, observeQuery)
+	// Both statements go in one message, because the time of a barrier and of each confirmed write contains the way to
+	// the primary and back. The followers are read after the end of the log.
+	results, err := a.script(ctx, observeQuery+"; "+followersQuery)
 	if err != nil {
 		return Observation{}, err
 	}
 
-	if len(rows) != 1 || len(rows[0]) != observeColumns {
+	if len(results) != 2 || len(results[0]) != 1 || len(results[0][0]) != observeColumns {
 		return Observation{}, eris.Errorf("observe: unexpected shape of the answer")
 	}
 
-	seen, err := parseObservation(rows[0])
+	seen, err := parseObservation(results[0][0])
 	if err != nil || seen.Recovery {
 		return seen, err
 	}
 
-	seen.Followers, err = a.followers(ctx)
+	seen.Followers, err = parseFollowers(results[1])
 
 	return seen, err
 }
@@ -250,12 +252,7 @@
 	return err
 }
 
-func (a *Admin) followers(ctx context.Context) ([]Follower, error) {
-	rows, err := a.query(ctx, followersQuery)
-	if err != nil {
-		return nil, err
-	}
-
+func parseFollowers(rows [][]string) ([]Follower, error) {
 	followers := make([]Follower, 0, len(rows))
 
 	for _, row := range rows {
@@ -277,14 +274,26 @@
 
 // query runs one statement and returns its rows as text; NULL is the empty text.
 func (a *Admin) query(ctx context.Context, sql string) ([][]string, error) {
+	results, err := a.script(ctx, sql)
+	if err != nil || len(results) == 0 {
+		return nil, err
+	}
+
+	return results[0], nil
+}
+
+// script runs statements that are separated by semicolons and returns the rows of each.
+func (a *Admin) script(ctx context.Context, sql string) ([][][]string, error) {
 	results, err := a.conn.Exec(ctx, sql).ReadAll()
 	if err != nil {
 		return nil, eris.Wrapf(err, "query %.40q", sql)
 	}
 
-	var rows [][]string
+	answers := make([][][]string, 0, len(results))
 
 	for _, result := range results {
+		rows := make([][]string, 0, len(result.Rows))
+
 		for _, values := range result.Rows {
 			row := make([]string, len(values))
 			for i, value := range values {
@@ -293,9 +302,11 @@
 
 			rows = append(rows, row)
 		}
+
+		answers = append(answers, rows)
 	}
 
-	return rows, nil
+	return answers, nil
 }
 
 func parseObservation(row []string) (Observation, error) {
