--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -27,8 +27,13 @@
 	// sequences holds the latest announcement of each server, recorded in the log or not.
 	sequences map[string]stamp
 	workers   map[string]*worker
+	// checks bounds the groups that are checked at once. A new leader checks all of them; failovers don't wait.
+	checks chan struct{}
 }
 
+// checkLimit is the number of groups that are checked at once.
+const checkLimit = 64
+
 // lease is the last renewal of a proxy.
 type lease struct {
 	instance      uint64
@@ -55,6 +60,7 @@
 	return &leadership{
 		controller: controller, ctx: ctx, began: controller.options.Timer.Now(),
 		leases: make(map[string]lease), sequences: make(map[string]stamp), workers: make(map[string]*worker),
+		checks: make(chan struct{}, checkLimit),
 	}
 }
 
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -172,7 +172,22 @@
 	case view.Servers[group.Primary].Leaving:
 		return w.move(ctx, view, group)
 	default:
+		return w.check(ctx, view, group)
+	}
+}
+
+// check reconciles the group when its turn has come.
+func (w *worker) check(ctx context.Context, view *registry.View, group registry.Group) time.Duration {
+	select {
+	case w.lead.checks <- struct{}{}:
+		defer func() { <-w.lead.checks }()
+
 		return w.reconcile(ctx, view, group)
+	case <-ctx.Done():
+		return busyPeriod
+	case <-time.After(busyPeriod):
+		// A suspicion that arrived meanwhile goes first.
+		return busyPeriod
 	}
 }
 
