core/permit: keep a tenth of the connections for urgent requests

Routine traffic held every connection permit, and the proxies learn only with the next report, each second, that others wait. Change: the last tenth of the connection permits goes to urgent requests only, which also overtake routine ones that wait for a connection. Ruled out: reporting more often, which costs every proxy all the time.

--- a/cmd/almonddev/up.go
+++ b/cmd/almonddev/up.go
@@ -19,6 +19,9 @@
 	Listen  string        `long:"listen" default:"127.0.0.1:6432" value-name:"ADDRESS" description:"Address of the first proxy; the second listens on the next port"`
 	Members int           `long:"members" default:"3" description:"Stand-ins for backend servers"`
 	Lag     time.Duration `long:"lag" default:"10ms" description:"Replay lag of replicas"`
+	Slots   int           `long:"slots" default:"5" description:"Statements that each stand-in runs at once"`
+	Conns   int           `long:"connections" default:"35" description:"Connections that each stand-in allows"`
+	Equal   bool          `long:"equal" description:"Serve urgent traffic like all other, for comparison"`
 	Route   string        `long:"route" value-name:"POLICY" description:"Routing policy for reads: fresh, or for comparison primary or turn"`
 	Level   string        `long:"level" default:"warn" description:"Log level: debug, info, warn or error"`
 }
@@ -49,6 +52,7 @@
 	logger, _ := logging.New(settings.Log{Format: "text", Level: u.Level}, os.Stderr)
 
 	return local.Run(ctx, local.Options{
-		Listen: listen, Members: u.Members, Lag: u.Lag, Route: u.Route, Logger: logger, Out: os.Stdout,
+		Listen: listen, Members: u.Members, Lag: u.Lag, Slots: u.Slots,
+		Connections: u.Conns, Equal: u.Equal, Route: u.Route, Logger: logger, Out: os.Stdout,
 	})
 }
--- a/core/permit/broker.go
+++ b/core/permit/broker.go
@@ -76,7 +76,7 @@
 		return answers
 	}
 
-	if waiting.len() == 0 && b.Free(request.Kind) > 0 {
+	if !waiting.before(request.Urgent) && b.free(request.Kind, request.Urgent) > 0 {
 		waiting.granted(request.Urgent)
 
 		return append(answers, b.grant(now, request.Grant))
@@ -257,6 +257,16 @@
 	return max(0, b.limits.of(kind)-b.Used(kind))
 }
 
+// free returns the number of permits that may be granted now to requests of a class.
+func (b *Broker) free(kind Kind, urgent bool) int {
+	free := b.Free(kind)
+	if kind == Connection && !urgent {
+		free -= b.limits.Urgent
+	}
+
+	return max(0, free)
+}
+
 // Used returns the number of permits that count as held.
 func (b *Broker) Used(kind Kind) int {
 	used := 0
@@ -405,8 +415,13 @@
 	answers := b.Expire(now)
 
 	for kind := range kinds {
-		for free := b.Free(kind); free > 0 && b.queues[kind].len() > 0; free-- {
-			answers = append(answers, b.grant(now, b.queues[kind].next().Grant))
+		for {
+			routine := b.free(kind, false) > 0
+			if b.free(kind, true) == 0 || !b.queues[kind].ready(routine) {
+				break
+			}
+
+			answers = append(answers, b.grant(now, b.queues[kind].next(routine).Grant))
 		}
 	}
 
--- a/core/permit/permit_test.go
+++ b/core/permit/permit_test.go
@@ -286,3 +286,26 @@
 	// granted: 1 waiting: true
 	// now granted: 2
 }
+
+// TestUrgentConnections guards against an urgent request that waits because routine traffic holds all connections,
+// and against routine requests that take what is kept for urgent ones when connections are given back.
+func TestUrgentConnections(t *testing.T) {
+	t.Parallel()
+
+	broker := ready(permit.Limits{Connections: 6, Reserve: 2, Urgent: 1, Queue: 10})
+	urgent := connection(p2, 1)
+	urgent.Urgent = true
+
+	for number := uint64(1); number <= 3; number++ {
+		require.Len(t, broker.Acquire(start.Add(2), connection(p1, number)), 1)
+	}
+
+	require.Empty(t, broker.Acquire(start.Add(2), connection(p1, 4)), "the last connection is kept")
+	require.Len(t, broker.Acquire(start.Add(2), urgent), 1, "an urgent request overtakes a routine one that waits")
+	assert.Empty(t, broker.Release(start.Add(3), p2, 1), "what is kept does not go to a routine request")
+
+	answers := broker.Release(start.Add(3), p1, 1)
+	require.Len(t, answers, 1)
+	assert.Equal(t, uint64(4), answers[0].Number)
+	assert.Equal(t, 3, broker.Used(permit.Connection))
+}
--- a/core/permit/queue.go
+++ b/core/permit/queue.go
@@ -27,10 +27,20 @@
 	return &q.routine
 }
 
-// next takes the request to serve.
-func (q *queue) next() Request {
+// before reports whether requests wait that a new one may not overtake.
+func (q *queue) before(urgent bool) bool {
+	return len(q.urgent) > 0 || !urgent && len(q.routine) > 0
+}
+
+// ready reports whether a request can be served, given whether routine ones may be.
+func (q *queue) ready(routine bool) bool {
+	return len(q.urgent) > 0 || routine && len(q.routine) > 0
+}
+
+// next takes the request to serve. Routine says whether routine requests may be served.
+func (q *queue) next(routine bool) Request {
 	class := &q.urgent
-	if len(q.urgent) == 0 || q.streak >= urgentStreak && len(q.routine) > 0 {
+	if len(q.urgent) == 0 || routine && q.streak >= urgentStreak && len(q.routine) > 0 {
 		class = &q.routine
 	}
 
--- a/core/permit/types.go
+++ b/core/permit/types.go
@@ -78,6 +78,9 @@
 	Slots       int
 	// Reserve is the number of connections that are kept for administration.
 	Reserve int
+	// Urgent is the number of connections that only urgent requests get. Holders keep connections open for a while,
+	// so that an urgent request would otherwise wait until one is given back.
+	Urgent int
 	// Queue bounds the waiting requests of each kind and class.
 	Queue int
 }
--- a/internal/coordinator/permits.go
+++ b/internal/coordinator/permits.go
@@ -16,6 +16,8 @@
 const (
 	// reservedConnections are kept for the monitor connection and one administrative connection.
 	reservedConnections = 2
+	// urgentShare is the part of a server's connections that only urgent requests get, as a divisor.
+	urgentShare = 10
 	// waitingRequests bounds the requests that wait for each kind of permit of a server, in each class.
 	waitingRequests = 1024
 	// recallInterval is the least time between two recalls of the same kind of permit.
@@ -243,7 +245,8 @@
 
 	for name, server := range state.servers {
 		limits := permit.Limits{Connections: server.Connections, Slots: server.Slots, Reserve: reservedConnections,
-			Queue: waitingRequests}
+			Urgent: server.Connections / urgentShare,
+			Queue:  waitingRequests}
 
 		present, found := p.brokers[name]
 		if !found {
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -25,6 +25,11 @@
 	// Members is the number of stand-ins, Lag the delay with which replicas show what they have received.
 	Members int
 	Lag     time.Duration
+	// Slots and Connections are the limits of each stand-in; zero means the stand-in's default.
+	Slots       int
+	Connections int
+	// Equal serves urgent traffic like all other, for comparison.
+	Equal bool
 	// Route names the routing policy of the proxies; empty means the default.
 	Route  string
 	Logger *slog.Logger
@@ -56,7 +61,7 @@
 	}
 
 	second := netip.AddrPortFrom(options.Listen.Addr(), options.Listen.Port()+1)
-	base := baseSettings(addresses[0])
+	base := baseSettings(addresses[0], !options.Equal)
 	control := base
 	control.VM = settings.VM{Name: "control1", Centre: "local", Control: addresses[0], Data: folder}
 	first, other := base, base
@@ -89,13 +94,13 @@
 	return group.Wait() //nolint:wrapcheck // The errors above are complete.
 }
 
-func baseSettings(control netip.AddrPort) settings.Settings {
+func baseSettings(control netip.AddrPort, urgent bool) settings.Settings {
 	running := settings.Defaults()
 	running.Users = map[string]settings.User{userName: {}}
 	running.Pools = map[string]settings.Pool{poolName: {
 		Groups: []string{groupName}, Database: "main", Traffic: []settings.Traffic{
 			{Name: "browse", Applications: []string{"browse*"}, MaxAge: settings.Duration(browseAge), Session: "connection"},
-			{Name: "urgent", Applications: []string{"inspector*", "urgent*"}, Urgent: true},
+			{Name: "urgent", Applications: []string{"inspector*", "urgent*"}, Urgent: urgent},
 		},
 	}}
 
@@ -118,6 +123,7 @@
 		member, err := standin.New(standin.Options{
 			Name: fmt.Sprintf("%s%c", groupName, 'a'+i), Group: groupName, Centre: "local", Primary: i == 0,
 			Listen: netip.MustParseAddrPort("127.0.0.1:0"), Lag: options.Lag, Announce: announce,
+			Slots: options.Slots, Connections: options.Connections,
 		})
 		if err != nil {
 			return members, eris.Wrap(err, "start stand-in")
