internal/consensus: answer unknown while the leader's address is not known

Cause: with -count 8 TestLostMajorityFormsNoNewGroup saw a member that had just joined refuse a read with 'not leader' although it could not name a leader. Change: Confirm says NoQuorum unless it can name the leader; a member that waits names those it has not heard every 10 s.

--- /dev/null
+++ b/core/replog/example_test.go
@@ -0,0 +1,73 @@
+package replog_test
+
+import (
+	"fmt"
+
+	"almondgrade/core/replog"
+)
+
+// Three nodes in one program replicate a command. A real owner saves what Ready holds before it sends the messages.
+func Example() {
+	founding := replog.NewConfiguration(
+		replog.Member{ID: 1, Name: "plateau", Voter: true},
+		replog.Member{ID: 2, Name: "almadies", Voter: true},
+		replog.Member{ID: 3, Name: "pikine", Voter: true},
+	)
+	saved := replog.Saved{
+		State:    replog.State{Term: 1},
+		Snapshot: replog.Snapshot{Index: 1, Term: 1, Configuration: founding},
+	}
+	nodes := make(map[replog.ID]*replog.Node)
+
+	for _, member := range founding.Members {
+		node, err := replog.New(replog.Options{ID: member.ID, Saved: saved, ElectionTicks: 10, HeartbeatTicks: 1})
+		if err != nil {
+			fmt.Println(err)
+
+			return
+		}
+
+		nodes[member.ID] = node
+	}
+
+	exchange := func() {
+		for busy := true; busy; {
+			busy = false
+
+			for _, member := range founding.Members {
+				for node := nodes[member.ID]; node.HasReady(); busy = true {
+					ready := node.Ready()
+
+					for _, message := range ready.Messages {
+						nodes[message.To].Step(message)
+					}
+
+					for _, entry := range ready.Committed {
+						if entry.Kind == replog.Command {
+							fmt.Printf("%s applies %s\n", member.Name, entry.Data)
+						}
+					}
+
+					node.Advance()
+				}
+			}
+		}
+	}
+
+	// Only the first node's time passes, so it is the one that stands for election.
+	for nodes[1].Status().Role != replog.Leader {
+		nodes[1].Tick()
+		exchange()
+	}
+
+	if _, _, err := nodes[1].Propose([]byte("term 2 of group registry")); err != nil {
+		fmt.Println(err)
+	}
+
+	exchange()
+
+	// Output:
+	// plateau applies term 2 of group registry
+	// almadies applies term 2 of group registry
+	// pikine applies term 2 of group registry
+}
--- a/core/replog/membership.go
+++ b/core/replog/membership.go
@@ -1,6 +1,10 @@
 package replog
 
-import "github.com/rotisserie/eris"
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
 
 // membership lists the configurations of the log in ascending order of their index. The first one is that of the
 // log's base or snapshot, the last one is in force.
@@ -80,53 +84,91 @@
 }
 
 // Change appends a change of one member. It is refused while another change is not committed, because quorums of
-// configurations that differ by more than one member need not intersect.
+// configurations that differ by more than one member need not intersect. A change that is in force already succeeds
+// without an entry.
 func (n *Node) Change(change Change) (index uint64, err error) {
-	configuration := n.configuration()
-	id := change.Member.ID
-	current, found := configuration.Find(id)
+	if err := n.changeable(); err != nil {
+		return 0, err
+	}
+
+	index = n.log.last() + 1
+
+	configuration, err := n.changed(change, index)
+	if err != nil {
+		return 0, err
+	}
+
+	if slices.Equal(configuration.Members, n.configuration().Members) {
+		return n.commit, nil
+	}
+
+	data, err := encodeConfiguration(configuration)
+	if err != nil {
+		return 0, err
+	}
+
+	n.adopt([]Entry{n.appendOwn(Membership, data)})
+
+	return index, nil
+}
 
+// changeable returns why no member can be changed at present.
+func (n *Node) changeable() error {
 	switch {
 	case n.role != Leader:
-		return 0, ErrNotLeader
+		return ErrNotLeader
 	case n.transferee != 0:
-		return 0, ErrTransferring
+		return ErrTransferring
 	case n.members[len(n.members)-1].index > n.commit:
-		return 0, ErrChanging
+		return ErrChanging
 	case !n.committedInTerm():
-		return 0, ErrNotReady
-	case change.Kind != Add && !found:
-		return 0, ErrNoMember
-	case change.Kind == Promote && n.matched(id) < current.Joined:
-		return 0, ErrBehind
-	case change.Kind == Remove && current.Voter && configuration.Voters() == 1:
-		return 0, ErrLastVoter
-	case change.Kind == Add && found, change.Kind == Promote && current.Voter:
-		return n.commit, nil
+		return ErrNotReady
+	default:
+		return nil
 	}
+}
 
-	index = n.log.last() + 1
+// changed returns the configuration after a change by the entry at an index.
+func (n *Node) changed(change Change, index uint64) (Configuration, error) {
+	configuration := n.configuration()
+	id := change.Member.ID
+	current, found := configuration.Find(id)
 
 	switch change.Kind {
 	case Add:
+		if found {
+			return configuration, nil
+		}
+
 		added := change.Member
 		added.Voter, added.Joined = false, index
-		configuration = configuration.with(added)
+
+		return configuration.with(added), nil
 	case Promote:
+		if !found {
+			return Configuration{}, ErrNoMember
+		}
+
+		if n.matched(id) < current.Joined {
+			return Configuration{}, ErrBehind
+		}
+
 		current.Voter = true
-		configuration = configuration.with(current)
+
+		return configuration.with(current), nil
 	case Remove:
-		configuration = configuration.without(id)
-	}
+		if !found {
+			return Configuration{}, ErrNoMember
+		}
 
-	data, err := encodeConfiguration(configuration)
-	if err != nil {
-		return 0, err
-	}
+		if current.Voter && configuration.Voters() == 1 {
+			return Configuration{}, ErrLastVoter
+		}
 
-	n.adopt([]Entry{n.appendOwn(Membership, data)})
+		return configuration.without(id), nil
+	}
 
-	return index, nil
+	return Configuration{}, eris.Errorf("unknown kind of change %d", change.Kind)
 }
 
 // adopt puts the configurations in appended entries in force. An entry that can't be decoded leaves the membership
--- a/internal/consensus/founding.go
+++ b/internal/consensus/founding.go
@@ -91,6 +91,29 @@
 	g.begin()
 }
 
+// remind tells the operator which initial members keep this one from forming or joining a group.
+func (g *Group) remind() {
+	g.waited++
+
+	if g.node != nil || g.waited%g.remindTicks() != 0 {
+		return
+	}
+
+	var missing []string
+
+	for _, initial := range g.options.Initial {
+		if _, heard := g.named(initial.Name); !heard && initial.Name != g.options.Self.Name {
+			missing = append(missing, initial.Name)
+		}
+	}
+
+	g.options.Logger.Warn("still waiting to form or join a group", "stage", g.stage(), "not heard", missing)
+}
+
+func (g *Group) remindTicks() int {
+	return max(1, int(remindInterval/g.options.Heartbeat))
+}
+
 // founders returns the initial members with their IDs, if this member is one of them and all were heard.
 func (g *Group) founders() ([]replog.Member, bool) {
 	var members []replog.Member
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -56,7 +56,9 @@
 	token    uint64
 	readings []replog.Confirmation
 	// age is the number of heartbeats since the node was created.
-	age      int
+	age int
+	// waited is the number of heartbeats without a node.
+	waited   int
 	peers    map[replog.ID]peer
 	admitted map[string]netip.AddrPort
 }
--- a/internal/consensus/link.go
+++ b/internal/consensus/link.go
@@ -45,6 +45,8 @@
 	Address netip.AddrPort
 	// Connected reports whether the present connection has carried an acknowledged batch.
 	Connected bool
+	// Acknowledged is the number of the last acknowledged batch.
+	Acknowledged uint64
 	// Opened counts the connections, Replaced those that were given up because they were silent.
 	Opened   uint64
 	Replaced uint64
@@ -231,7 +233,7 @@
 	defer l.mutex.Unlock()
 
 	if l.replace != nil && sequence >= l.first && sequence > l.confirmed {
-		l.confirmed = sequence
+		l.confirmed, l.status.Acknowledged = sequence, sequence
 		l.proven = l.group.options.Timer.Now()
 		l.status.Connected = true
 	}
--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -47,6 +47,7 @@
 
 	if g.node == nil {
 		g.found()
+		g.remind()
 
 		return
 	}
@@ -134,9 +135,7 @@
 		g.apply(entry)
 	}
 
-	for _, confirmation := range ready.Confirmed {
-		g.readings = append(g.readings, confirmation)
-	}
+	g.readings = append(g.readings, ready.Confirmed...)
 
 	for _, token := range ready.Lost {
 		g.lose(token)
--- a/internal/consensus/network_test.go
+++ b/internal/consensus/network_test.go
@@ -89,6 +89,22 @@
 	return count
 }
 
+// silenced counts the silent connections that are still open.
+func (n *network) silenced(from, to netip.AddrPort) int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+
+	count := 0
+
+	for c := range n.connections {
+		if c.from == from && c.to == to && c.silent.Load() {
+			count++
+		}
+	}
+
+	return count
+}
+
 // partition makes the writes on present and new connections vanish, in both directions.
 func (n *network) partition(a, b netip.AddrPort, cut bool) {
 	n.mutex.Lock()
--- a/internal/consensus/options.go
+++ b/internal/consensus/options.go
@@ -36,6 +36,9 @@
 	DefaultSnapshotEvery = 4096
 )
 
+// remindInterval is the time between log lines of a member that waits for others.
+const remindInterval = 10 * time.Second
+
 // Limits of a Group.
 const (
 	// commandLimit is the size of the largest command in bytes. A batch must fit into a gRPC message of 4 MiB.
--- a/internal/consensus/request.go
+++ b/internal/consensus/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"almondgrade/core/replog"
 	"almondgrade/core/result"
 )
 
@@ -170,31 +171,33 @@
 		return
 	}
 
-	if failure := g.notLeader("reads are confirmed by the leader"); g.leaderKnown() {
-		done <- reading{err: failure}
+	if leader, known := g.leader(); known {
+		done <- reading{err: result.New(result.NotLeader, "reads are confirmed by the leader; the leader is %s at %s",
+			leader.Name, leader.Address)}
 	} else {
 		done <- reading{err: result.New(result.NoQuorum, "no leader is known, so the latest state isn't either")}
 	}
 }
 
-func (g *Group) leaderKnown() bool {
+// leader returns the leader, if it is known and another member. A member that has just joined hears the leader before
+// it learns where the leader is.
+func (g *Group) leader() (replog.Member, bool) {
 	if g.node == nil {
-		return false
+		return replog.Member{}, false
 	}
 
 	_, _, leader := g.node.Leads()
+	if leader == 0 || leader == g.identity.ID {
+		return replog.Member{}, false
+	}
 
-	return leader != 0
+	return g.node.Status().Configuration.Find(leader)
 }
 
 // notLeader returns the error that names the leader, if it is known.
 func (g *Group) notLeader(reason string) *result.Error {
-	if g.node != nil {
-		if _, _, leader := g.node.Leads(); leader != 0 && leader != g.identity.ID {
-			if member, found := g.node.Status().Configuration.Find(leader); found {
-				return result.New(result.NotLeader, "%s; the leader is %s at %s", reason, member.Name, member.Address)
-			}
-		}
+	if leader, known := g.leader(); known {
+		return result.New(result.NotLeader, "%s; the leader is %s at %s", reason, leader.Name, leader.Address)
 	}
 
 	return result.New(result.NotLeader, "%s; no leader is known", reason)
