internal/coordinator: end lost monitor connections on the server

A server goes on showing a connection that was lost without notice, and each lost monitor connection took up a part of the reserve of two. Connections of the coordinator now have numbered names, and after a replacement the server is told to end the old one.

--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -201,6 +202,18 @@
 	}
 
 	assert.Positive(t, lost, "no connection was lost")
+
+	eventually(t, "the server ends the lost connections", func() bool {
+		monitors := 0
+
+		for application, count := range c.shown(0) {
+			if strings.HasSuffix(application, "/monitor") {
+				monitors += count
+			}
+		}
+
+		return monitors == 1
+	})
 	assert.Zero(t, p1.suspects.Load(), "a server that answers new connections was suspected")
 }
 
--- a/internal/coordinator/application.go
+++ b/internal/coordinator/application.go
@@ -25,7 +25,7 @@
 )
 
 // Application returns the application name of a proxy's connection to a backend server: ag/PROXY/INSTANCE/KIND, with
-// the instance as 16 hexadecimal digits. KIND is one of the words above or anything else for a connection that holds a
+// the instance as 16 hexadecimal digits. KIND ends in one of the words above or anything else for a connection that holds a
 // permit. The instance tells the connections of a process from those that an earlier
 // process of the same name left behind.
 func Application(proxy string, instance uint64, kind string) string {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,8 +52,10 @@
 	// state is the group in the latest view; replaced by Update.
 	state    atomic.Pointer[state]
 	barriers *Rounds[Answer]
-	confirms confirms
-	permits  permits
+	// connections numbers the connections to members.
+	connections atomic.Uint64
+	confirms    confirms
+	permits     permits
 
 	mutex     sync.Mutex
 	members   map[string]*member
@@ -235,13 +238,17 @@
 	}
 
 	return newMember(c.context, &member{
-		name:        server.Name,
-		server:      server,
-		application: Application(c.options.Proxy, c.options.Instance, kind),
-		open:        c.options.Open,
-		timer:       c.options.Timer,
-		timeout:     c.timeout,
-		report:      c.observed,
+		name:   server.Name,
+		server: server,
+		application: func() string {
+			number := strconv.FormatUint(c.connections.Add(1), 10)
+
+			return Application(c.options.Proxy, c.options.Instance, number+"/"+kind)
+		},
+		open:    c.options.Open,
+		timer:   c.options.Timer,
+		timeout: c.timeout,
+		report:  c.observed,
 	})
 }
 
--- a/internal/coordinator/member.go
+++ b/internal/coordinator/member.go
@@ -20,6 +20,8 @@
 	leastPatience = 250 * time.Millisecond
 	// patienceFactor multiplies the time of the slowest recent answer.
 	patienceFactor = 8
+	// maxLost bounds the number of lost connections that are remembered.
+	maxLost = 16
 )
 
 // Admin is an administrative connection to a backend server.
@@ -42,9 +44,10 @@
 
 // member queries one backend server over one connection, which it replaces when it fails.
 type member struct {
-	name        string
-	server      registry.Server
-	application string
+	name   string
+	server registry.Server
+	// application returns the application name of a new connection, each time another one.
+	application func() string
 	open        Opener
 	timer       timer.Service
 	timeout     func() time.Duration
@@ -57,9 +60,12 @@
 	reached atomic.Bool
 
 	// mutex serialises the use of the connection.
-	mutex   sync.Mutex
-	conn    Admin
-	slowest time.Duration
+	mutex sync.Mutex
+	conn  Admin
+	// connName is the application name of the connection, lost are those of connections that were given up.
+	connName string
+	lost     []string
+	slowest  time.Duration
 }
 
 func newMember(parent context.Context, made *member) *member {
@@ -135,8 +141,9 @@
 	took := m.timer.Now().Sub(began)
 
 	if err != nil {
-		m.discard()
+		m.giveUp()
 	} else {
+		m.terminateLost(ctx)
 		m.slowest = max(took, m.slowest-m.slowest/patienceFactor)
 	}
 
@@ -149,23 +156,48 @@
 
 func (m *member) try(ctx context.Context, query func(ctx context.Context, conn Admin) error) error {
 	if m.conn == nil {
-		conn, err := m.open(ctx, m.server, m.application)
+		name := m.application()
+
+		conn, err := m.open(ctx, m.server, name)
 		if err != nil {
 			return err
 		}
 
-		m.conn = conn
+		m.conn, m.connName = conn, name
 	}
 
 	return query(ctx, m.conn)
 }
 
+// terminateLost ends the connections that were given up but that the server may still show, because it has not noticed
+// their loss. They would take up the reserve of connections.
+func (m *member) terminateLost(ctx context.Context) {
+	for len(m.lost) > 0 && m.conn != nil {
+		if err := m.conn.Terminate(ctx, m.lost[0]); err != nil {
+			m.discard()
+
+			return
+		}
+
+		m.lost = m.lost[1:]
+	}
+}
+
 // patience returns how long a query on an old connection may take: much longer than recent queries took, so that a
 // slow server isn't taken for a lost connection.
 func (m *member) patience() time.Duration {
 	return min(max(leastPatience, patienceFactor*m.slowest), m.timeout())
 }
 
+// giveUp closes a connection that failed, and remembers to have the server end it.
+func (m *member) giveUp() {
+	if m.conn != nil && len(m.lost) < maxLost {
+		m.lost = append(m.lost, m.connName)
+	}
+
+	m.discard()
+}
+
 func (m *member) discard() {
 	if m.conn != nil {
 		// Closing a silent connection takes a while, which the next query need not wait for.
