internal/standin: count statements by application

A test of leaving servers has to judge by what arrived at the server, not by what a proxy believes it sent. GET /status now shows the number of SQL statements by application name. Transaction control and settings don't count, because a proxy that resets a connection sends no work. The numbers at the end of application names are left out, so that the map stays small.

--- a/internal/standin/execute.go
+++ b/internal/standin/execute.go
@@ -168,6 +168,8 @@
 
 // openSQL starts a statement that SQLite runs.
 func (s *session) openSQL(st *statement, args []any) (*cursor, error) {
+	s.srv.member.statements.add(s.application)
+
 	ctx, finish := s.startStatement(st.raw)
 
 	cur, err := s.runSQL(ctx, st, args)
--- a/internal/standin/member.go
+++ b/internal/standin/member.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +28,8 @@
 	receiveDelay atomic.Int64
 	leaving      atomic.Bool
 	sequence     atomic.Uint64
+	// statements counts, for each application name, the SQL statements that arrived.
+	statements counts
 	// tuned is signalled when a delay changes.
 	tuned  *signal
 	folder string
@@ -281,6 +285,9 @@
 	Written     string `json:"written"`
 	Replayed    string `json:"replayed"`
 	Sessions    int    `json:"sessions"`
+	// Statements is the number of SQL statements that arrived since the process began, by application name without
+	// the number of a connection at its end. Transaction control and settings don't count.
+	Statements map[string]uint64 `json:"statements"`
 	// Replay is the error that stopped the replay of the log, if any.
 	Replay string `json:"replay,omitempty"`
 }
@@ -290,7 +297,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
-	status := Status{Name: m.options.Name, Address: m.address.String()}
+	status := Status{Name: m.options.Name, Address: m.address.String(), Statements: m.statements.all()}
 	if m.server != nil {
 		m.server.status(&status)
 	}
@@ -335,3 +342,32 @@
 
 	return s.changed
 }
+
+// counts are counters by name.
+type counts struct {
+	mu     sync.Mutex
+	byName map[string]uint64
+}
+
+// add counts under a name such as "ag/proxy1/00000000000000a7/12", without the number at its end.
+func (c *counts) add(name string) {
+	if end := strings.TrimRight(name, "0123456789"); strings.HasSuffix(end, "/") {
+		name = strings.TrimSuffix(end, "/")
+	}
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.byName == nil {
+		c.byName = map[string]uint64{}
+	}
+
+	c.byName[name]++
+}
+
+func (c *counts) all() map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return maps.Clone(c.byName)
+}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -217,3 +217,21 @@
 	assert.Equal(t, int64(4), number(t, connect(t, members[2], "app"), "SELECT sum(v) FROM t"))
 	assert.Equal(t, int64(3), number(t, conn, "SELECT sum(v) FROM t"))
 }
+
+// Guards against statements that the count leaves out or puts under another client, because the tests of leaving
+// servers judge by this count.
+func TestStatementsAreCountedByApplication(t *testing.T) {
+	t.Parallel()
+
+	m := start(t, standin.Options{Primary: true})
+	first, second, other := connect(t, m, "ag/p1/a7/1"), connect(t, m, "ag/p1/a7/2"), connect(t, m, "ag/p1/a7/monitor")
+
+	for _, conn := range []*pgx.Conn{first, second, other} {
+		for _, sql := range []string{"BEGIN", "SELECT 1", "COMMIT", "SET work_mem = '1MB'"} {
+			_, err := conn.Exec(testContext(t), sql, pgx.QueryExecModeSimpleProtocol)
+			require.NoError(t, err)
+		}
+	}
+
+	assert.Equal(t, map[string]uint64{"ag/p1/a7": 2, "ag/p1/a7/monitor": 1}, m.Status().Statements)
+}
