daemon: give idle connections back when other proxies wait for them

Cause: the coordinator recalls idle connection permits at once, but the proxy process did not pass the recall on to its pools, so that others waited for the idle limit of 2 s. Change: the recall reaches the pools, which close the connections that were unused for longest. Test: TestPoolShrinkReturnsPermits.

--- a/internal/daemon/proxy.go
+++ b/internal/daemon/proxy.go
@@ -120,6 +120,7 @@
 	p.coordination = coordination.New(coordination.Options{
 		Name: vm.Name, Instance: self.Instance, Centre: vm.Centre, Source: p.client, Login: backendLogin(p.Settings.Running),
 		Timer: p.clock, Logger: p.Logger, Metrics: p.counters.Registry, Suspect: p.suspect,
+		Recall: func(server string, count int) { p.server.Recall(server, count) },
 		Cancel: func(process uint32, secret []byte) { p.server.Cancel(context.WithoutCancel(ctx), process, secret) },
 	})
 	p.closers = append(p.closers, p.coordination.Close)
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -142,6 +142,24 @@
 	}
 }
 
+// recall closes up to a number of idle connections to a server, because others wait for the permits.
+func (p *pools) recall(server string, count int) {
+	p.mu.RLock()
+
+	var present []*serverPool
+
+	for key, pool := range p.pools {
+		if key.server == server {
+			present = append(present, pool)
+		}
+	}
+	p.mu.RUnlock()
+
+	for _, pool := range present {
+		count -= pool.Shrink(count)
+	}
+}
+
 func (p *pools) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -449,6 +449,11 @@
 	return err
 }
 
+// Recall closes up to a number of idle connections to a backend server, because other proxies wait for them.
+func (s *Server) Recall(server string, count int) {
+	s.pools.recall(server, count)
+}
+
 // Draining reports whether Drain was called.
 func (s *Server) Draining() bool {
 	return s.draining.Load()
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -211,6 +211,21 @@
 	}
 }
 
+// Shrink closes up to a number of idle connections, those that were unused for longest first, and returns how many.
+func (p *Pool) Shrink(count int) int {
+	p.mu.Lock()
+	count = min(count, len(p.idle))
+	dropped := slices.Clone(p.idle[:count])
+	p.idle = slices.Delete(p.idle, 0, count)
+	p.mu.Unlock()
+
+	for _, conn := range dropped {
+		p.discard(conn)
+	}
+
+	return count
+}
+
 // Close closes the idle connections now and the others when they are returned. Waiting requests fail.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/io/backend/pool_test.go
+++ b/io/backend/pool_test.go
@@ -490,3 +490,35 @@
 		}
 	})
 }
+
+// TestPoolShrinkReturnsPermits guards against idle connections that keep their permits although other proxies wait for
+// them, and against a shrink that takes a connection in use.
+func TestPoolShrinkReturnsPermits(t *testing.T) {
+	t.Parallel()
+
+	allowed := &permits{limit: 3}
+	pool := backend.NewPool(newServer(t).options(), allowed.acquire)
+	ctx, cancel := within(t)
+
+	defer cancel()
+
+	var conns []*backend.Conn
+
+	for range 3 {
+		conn, err := pool.Get(ctx, backend.Want{}, false)
+		require.NoError(t, err)
+
+		conns = append(conns, conn)
+	}
+
+	pool.Put(conns[0])
+	pool.Put(conns[1])
+
+	require.Equal(t, 1, pool.Shrink(1))
+	require.EqualValues(t, 2, allowed.held.Load())
+	require.Same(t, conns[1], pool.TryGet(backend.Want{}), "the connection that was used last stays")
+	pool.Put(conns[1])
+	require.Equal(t, 1, pool.Shrink(5))
+	require.EqualValues(t, 1, allowed.held.Load())
+	require.True(t, conns[2].Reusable())
+}
