internal/proxy: use core/retry; name connections by instance

Cause: the proxy had its own copy of the retry budget, and its connection names did not tell a restarted proxy from the one before, so that the permits of the former returned late. Change: core/retry gets a floor for idle systems, which the copy had; application names come from coordination.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -18,6 +18,7 @@
 type Budget struct {
 	share float64
 	width time.Duration
+	floor int
 
 	mutex    sync.Mutex
 	counts   [parts]count
@@ -47,13 +48,21 @@
 	b.requests++
 }
 
+// WithFloor returns a budget that grants a number of retries in each window even where there is hardly any traffic to
+// take a share of. It is called before the budget is used.
+func (b *Budget) WithFloor(retries int) *Budget {
+	b.floor = retries
+
+	return b
+}
+
 // Retry reports whether one more retry may be made, and notes it if so.
 func (b *Budget) Retry(now time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 
 	present := b.at(now)
-	if float64(b.retries+1) > b.share*float64(b.requests) {
+	if float64(b.retries+1) > max(float64(b.floor), b.share*float64(b.requests)) {
 		return false
 	}
 
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -164,3 +164,35 @@
 	// 5ms true
 	// 144ms false
 }
+
+// TestFloor guards against a caller on an idle system whose only request gets no second attempt, and against a floor
+// that adds to the share.
+func TestFloor(t *testing.T) {
+	t.Parallel()
+
+	now := time.Unix(1000, 0)
+	budget := retry.NewBudget(retry.DefaultShare, retry.DefaultWindow).WithFloor(2)
+	budget.Request(now)
+
+	granted := 0
+
+	for range 10 {
+		if budget.Retry(now) {
+			granted++
+		}
+	}
+
+	require.Equal(t, 2, granted)
+
+	for range 100 {
+		budget.Request(now)
+	}
+
+	for range 20 {
+		if budget.Retry(now) {
+			granted++
+		}
+	}
+
+	require.Equal(t, 10, granted)
+}
--- a/internal/daemon/proxy.go
+++ b/internal/daemon/proxy.go
@@ -160,7 +160,7 @@
 	}
 
 	p.server = proxy.NewServer(proxy.Options{
-		Coordination: p.coordination, Name: p.Settings.VM.Name, Listener: listener, Logger: p.Logger,
+		Coordination: p.coordination, Name: p.Settings.VM.Name, Application: p.coordination.Application(), Listener: listener, Logger: p.Logger,
 		Metrics: p.counters.Registry, TLS: callers, BackendTLS: backends, CallerLimit: p.Settings.VM.CallerLimit,
 		Router: router,
 	})
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -29,7 +29,7 @@
 // pools holds one pool for each server and database. It is safe for concurrent use.
 type pools struct {
 	coordination Coordination
-	name         string
+	application  string
 	tls          *tls.Config
 	number       atomic.Uint64
 
@@ -53,8 +53,12 @@
 }
 
 func newPools(options Options) *pools {
+	if options.Application == "" {
+		options.Application = "ag/" + options.Name + "/"
+	}
+
 	return &pools{
-		coordination: options.Coordination, name: options.Name, tls: options.BackendTLS,
+		coordination: options.Coordination, application: options.Application, tls: options.BackendTLS,
 		pools: make(map[poolKey]*serverPool),
 	}
 }
@@ -89,7 +93,7 @@
 	options := backend.Options{
 		Address:     server.Address,
 		Login:       func() (backend.Login, error) { return p.login(database) },
-		Application: func() string { return "ag/" + p.name + "/" + strconv.FormatUint(p.number.Add(1), 10) },
+		Application: func() string { return p.application + strconv.FormatUint(p.number.Add(1), 10) },
 		Connect:     connectTimeout,
 		TLS:         p.tls,
 	}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -280,7 +280,7 @@
 // fresh runs a request that begins outside a transaction, on whichever server it needs, and again if it is certain
 // that it did not run or that it only read.
 func (s *session) fresh(ctx context.Context, r *request) *failure {
-	s.server.budget.request(time.Now())
+	s.server.budget.Request(time.Now())
 
 	for {
 		if err := s.mayBegin(); err != nil {
@@ -337,7 +337,7 @@
 		return false
 	}
 
-	if !s.server.budget.retry(time.Now()) {
+	if !s.server.budget.Retry(time.Now()) {
 		counters.add(counterRetryDenied)
 
 		return false
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -19,6 +19,7 @@
 
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
+	"almondgrade/core/retry"
 	"almondgrade/core/route"
 	"almondgrade/core/settings"
 	"almondgrade/io/caller"
@@ -48,6 +49,9 @@
 	Coordination Coordination
 	// Name is the proxy's name, as in the registry.
 	Name string
+	// Application begins the application names of backend connections, by which the coordinator counts them; empty
+	// means "ag/NAME/".
+	Application string
 	// Listener accepts callers.
 	Listener net.Listener
 	Logger   *slog.Logger
@@ -67,7 +71,7 @@
 	options  Options
 	pools    *pools
 	counters counters
-	budget   budget
+	budget   *retry.Budget
 	turn     atomic.Uint64
 	waiting  waiting
 	// parameters are what a backend server reported at login, for the greeting of callers.
@@ -118,6 +122,7 @@
 		options:  options,
 		pools:    newPools(options),
 		counters: counters{registry: options.Metrics},
+		budget:   newBudget(),
 		sessions: make(map[uint32]*session),
 		empty:    make(chan struct{}),
 	}
