internal/proxy: end the server's side of silent connections

The server can't see that a connection is lost and keeps the locks of its transaction. Once a connection is known to be silent, its server process is ended over another connection.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -240,8 +240,6 @@
 }
 
 // relay passes messages on until ReadyForQuery and returns its status.
-//
-//nolint:gocyclo // The conditions are the steps of one loop.
 func (x *exchange) relay() (byte, error) {
 	limit := x.r.deadline.Add(cancelGrace)
 
@@ -330,6 +328,8 @@
 			}
 
 			if err := x.conn.Wait(); err != nil {
+				x.terminate()
+
 				return err
 			}
 
@@ -366,6 +366,25 @@
 	return false
 }
 
+// terminate ends the server's side of a connection that has gone silent. The server can't see that the connection is
+// lost, and would keep the locks of its transaction.
+func (x *exchange) terminate() {
+	ctx, cancel := context.WithTimeout(x.s.server.stopped, silence)
+	defer cancel()
+
+	other, err := x.held.pool.Get(ctx, backend.Want{Term: x.conn.Term}, true)
+	if err != nil {
+		return
+	}
+
+	err = other.Exec(time.Now().Add(tryTimeout), "SELECT pg_terminate_backend("+strconv.FormatUint(uint64(x.conn.Process()), 10)+")")
+	if err != nil {
+		x.s.server.options.Logger.Info("silent connection was not ended on the server", "server", x.held.server, "error", err)
+	}
+
+	x.held.pool.Put(other)
+}
+
 // extend moves the deadline for reads from a connection, unless the session was ended.
 func (s *session) extend(conn *backend.Conn, deadline time.Time) error {
 	s.mu.Lock()
