--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -89,7 +89,7 @@
 	}
 
 	stop := s.guard(ctx, x.conn)
-	watched := s.watchSilence(held)
+	watched := s.watchSilence(held, r.batch == nil || r.batch.synced)
 	status, err := x.run()
 
 	if err == nil && x.wrapped {
--- a/internal/proxy/watchdog.go
+++ b/internal/proxy/watchdog.go
@@ -40,8 +40,13 @@
 }
 
 // watchSilence starts a watchdog for the answer to one request. It costs one timer as long as the server answers in time.
-func (s *session) watchSilence(held *lease) *watchdog {
+// A request that is not complete is not watched: the server waits for the caller, and nobody is silent.
+func (s *session) watchSilence(held *lease, complete bool) *watchdog {
 	w := &watchdog{session: s, pool: held.pool, conn: held.conn, began: time.Now()}
+	if !complete {
+		return w
+	}
+
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
@@ -56,7 +61,9 @@
 	defer w.mu.Unlock()
 
 	w.ended = true
-	w.timer.Stop()
+	if w.timer != nil {
+		w.timer.Stop()
+	}
 
 	if err != nil && w.silent {
 		return errSilent
