internal/consensus: run at most two test clusters at once

Change: newCluster waits for one of two slots. Ruled out: longer election timeouts, which only move the limit.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -114,9 +114,17 @@
 	root    string
 }
 
+// slots bounds the clusters that run at once. On one core under -race, eleven clusters starve each other so that no
+// leader stays for an election timeout.
+var slots = make(chan struct{}, 2)
+
 func newCluster(t *testing.T, names ...string) *cluster {
 	t.Helper()
 
+	slots <- struct{}{}
+
+	t.Cleanup(func() { <-slots })
+
 	c := &cluster{t: t, divisor: 1, root: t.TempDir(), network: newNetwork(), processes: make(map[string]*process), files: make(map[string]disk.Files)}
 	for _, name := range names {
 		c.initial = append(c.initial, c.member(name))
