--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -76,6 +76,20 @@
 		return retryPeriod
 	}
 
+	settled := w.reconcileReplicas(ctx, view, group, primary)
+
+	if w.dropLeaving(ctx, view, group) || w.dropDead(ctx, view, group) || !settled {
+		return retryPeriod
+	}
+
+	return sweepPeriod
+}
+
+// reconcileReplicas attaches the replicas and adds at most one that has caught up to the members. It returns whether
+// all are as they should be.
+func (w *worker) reconcileReplicas(
+	ctx context.Context, view *registry.View, group registry.Group, primary backend.Observation,
+) bool {
 	settled, added := true, false
 
 	for _, server := range view.Servers {
@@ -95,11 +109,7 @@
 		w.noteReachable(server.Name, found.reachable)
 	}
 
-	if added || w.dropLeaving(ctx, view, group) || w.dropDead(ctx, view, group) || !settled {
-		return retryPeriod
-	}
-
-	return sweepPeriod
+	return settled
 }
 
 // dropLost takes a member out whose data were lost. It must not be attached before: the coordinator would count
