--- a/internal/consensus/options.go
+++ b/internal/consensus/options.go
@@ -36,6 +36,9 @@
 	DefaultSnapshotEvery = 4096
 )
 
+// remindInterval is the time between log lines of a member that waits for others.
+const remindInterval = 10 * time.Second
+
 // Limits of a Group.
 const (
 	// commandLimit is the size of the largest command in bytes. A batch must fit into a gRPC message of 4 MiB.
@@ -44,6 +47,8 @@
 	batchLimit = 1 << 20
 	// queueLength bounds the messages that wait for one member, in number. Raft repeats what is dropped.
 	queueLength = 1024
+	// receivedLength bounds the batches that wait for the loop, in number: several seconds of heartbeats.
+	receivedLength = 256
 	// proposalBatch bounds the commands that are saved together.
 	proposalBatch = 256
 )
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -25,7 +25,14 @@
 	// Members is the number of stand-ins, Lag the delay with which replicas show what they have received.
 	Members int
 	Lag     time.Duration
-	Logger  *slog.Logger
+	// Slots and Connections are the limits of each stand-in; zero means the stand-in's default.
+	Slots       int
+	Connections int
+	// Equal serves urgent traffic like all other, for comparison.
+	Equal bool
+	// Route names the routing policy of the proxies; empty means the default.
+	Route  string
+	Logger *slog.Logger
 	// Out receives the addresses and a client command once the system serves.
 	Out io.Writer
 }
@@ -34,6 +41,8 @@
 	poolName  = "main"
 	groupName = "group1"
 	userName  = "almond"
+	// browseAge is the age of data that traffic of applications named browse* accepts.
+	browseAge = 30 * time.Second
 	// serveLimit bounds the time until the system serves.
 	serveLimit = time.Minute
 )
@@ -44,7 +53,7 @@
 	if err != nil {
 		return eris.Wrap(err, "temporary data folder")
 	}
-	defer os.RemoveAll(folder)
+	defer func() { _ = os.RemoveAll(folder) }()
 
 	addresses, err := freeAddresses(ctx, 7)
 	if err != nil {
@@ -52,7 +61,7 @@
 	}
 
 	second := netip.AddrPortFrom(options.Listen.Addr(), options.Listen.Port()+1)
-	base := baseSettings(addresses[0])
+	base := baseSettings(addresses[0], !options.Equal)
 	control := base
 	control.VM = settings.VM{Name: "control1", Centre: "local", Control: addresses[0], Data: folder}
 	first, other := base, base
@@ -67,7 +76,7 @@
 
 	for _, each := range []settings.Settings{first, other} {
 		group.Go(func() error {
-			return daemon.Proxy(ctx, daemon.Parts{Settings: each, Logger: options.Logger.With("vm", each.VM.Name)})
+			return daemon.Proxy(ctx, daemon.Parts{Settings: each, Logger: options.Logger.With("vm", each.VM.Name), Route: options.Route})
 		})
 	}
 
@@ -85,10 +94,15 @@
 	return group.Wait() //nolint:wrapcheck // The errors above are complete.
 }
 
-func baseSettings(control netip.AddrPort) settings.Settings {
+func baseSettings(control netip.AddrPort, urgent bool) settings.Settings {
 	running := settings.Defaults()
 	running.Users = map[string]settings.User{userName: {}}
-	running.Pools = map[string]settings.Pool{poolName: {Groups: []string{groupName}, Database: "main"}}
+	running.Pools = map[string]settings.Pool{poolName: {
+		Groups: []string{groupName}, Database: "main", Traffic: []settings.Traffic{
+			{Name: "browse", Applications: []string{"browse*"}, MaxAge: settings.Duration(browseAge), Session: "connection"},
+			{Name: "urgent", Applications: []string{"inspector*", "urgent*"}, Urgent: urgent},
+		},
+	}}
 
 	return settings.Settings{
 		Format: settings.Format, Site: "local", Running: running,
@@ -109,6 +123,7 @@
 		member, err := standin.New(standin.Options{
 			Name: fmt.Sprintf("%s%c", groupName, 'a'+i), Group: groupName, Centre: "local", Primary: i == 0,
 			Listen: netip.MustParseAddrPort("127.0.0.1:0"), Lag: options.Lag, Announce: announce,
+			Slots: options.Slots, Connections: options.Connections,
 		})
 		if err != nil {
 			return members, eris.Wrap(err, "start stand-in")
@@ -137,7 +152,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "find a free port")
 		}
-		defer listener.Close()
+		defer func() { _ = listener.Close() }()
 
 		addresses[i] = netip.MustParseAddrPort(listener.Addr().String())
 	}
