--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"os"
-	"strconv"
 	"strings"
 	"time"
 
@@ -36,8 +34,6 @@
 	inlineBytes = 8 << 10
 	// holdBytes bounds the answer that is held back until a commit is confirmed.
 	holdBytes = 64 << 10
-	// stateIdle begins the states of pg_stat_activity in which a connection runs nothing.
-	stateIdle = "idle"
 )
 
 // exchange is one run of a request on one connection.
@@ -243,11 +239,23 @@
 }
 
 // relay passes messages on until ReadyForQuery and returns its status.
+//
+//nolint:gocyclo // The conditions are the steps of one loop.
 func (x *exchange) relay() (byte, error) {
 	limit := x.r.deadline.Add(cancelGrace)
 
-	if x.forward == nil {
-		if err := x.first(limit); err != nil {
+	// The first byte of a read is awaited for a shorter time, as long as another attempt is possible.
+	first := x.r.class != classWrite && x.r.attempts == 1 && !x.open && x.forward == nil
+	if early := time.Now().Add(silence); first && early.Before(limit) {
+		if err := x.conn.SetReadDeadline(early); err != nil {
+			return 0, err
+		}
+
+		if err := x.conn.Wait(); err != nil {
+			return 0, err
+		}
+
+		if err := x.s.extend(x.conn, limit); err != nil {
 			return 0, err
 		}
 	}
@@ -302,92 +310,6 @@
 	return nil
 }
 
-// first waits for the first message of an answer. A connection that has gone silent is noticed here: a read is tried on
-// another connection, and for everything else the server is asked whether it still runs the statement.
-func (x *exchange) first(limit time.Time) error {
-	again := x.r.class != classWrite && x.r.attempts == 1 && !x.open
-
-	for {
-		early := time.Now().Add(silence)
-		if !early.Before(limit) {
-			return nil
-		}
-
-		if err := x.s.extend(x.conn, early); err != nil {
-			return err
-		}
-
-		err := x.conn.Wait()
-
-		switch {
-		case err == nil:
-			return x.s.extend(x.conn, limit)
-		case !errors.Is(err, os.ErrDeadlineExceeded) || again:
-			return err
-		case x.stopped():
-			// The server has nothing to answer any more, but its answer may be on its way.
-			if err := x.s.extend(x.conn, time.Now().Add(tryTimeout)); err != nil {
-				return err
-			}
-
-			if err := x.conn.Wait(); err != nil {
-				x.terminate()
-
-				return err
-			}
-
-			return x.s.extend(x.conn, limit)
-		}
-	}
-}
-
-// stopped reports whether the server is known to run nothing on the connection. Other connections may be silent as
-// well; each that does not answer is closed.
-func (x *exchange) stopped() bool {
-	ctx, cancel := context.WithTimeout(x.s.server.stopped, silence)
-	defer cancel()
-
-	for ctx.Err() == nil {
-		other, err := x.held.pool.Get(ctx, backend.Want{Term: x.conn.Term}, true)
-		if err != nil {
-			return false
-		}
-
-		rows, _, err := other.Query(time.Now().Add(tryTimeout), "SELECT state FROM pg_stat_activity WHERE pid = "+
-			strconv.FormatUint(uint64(x.conn.Process()), 10))
-		x.held.pool.Put(other)
-
-		if err == nil {
-			return len(rows) == 0 || strings.HasPrefix(rows[0][0], stateIdle)
-		}
-
-		if backend.StateOf(err) != "" {
-			return false
-		}
-	}
-
-	return false
-}
-
-// terminate ends the server's side of a connection that has gone silent. The server can't see that the connection is
-// lost, and would keep the locks of its transaction.
-func (x *exchange) terminate() {
-	ctx, cancel := context.WithTimeout(x.s.server.stopped, silence)
-	defer cancel()
-
-	other, err := x.held.pool.Get(ctx, backend.Want{Term: x.conn.Term}, true)
-	if err != nil {
-		return
-	}
-
-	err = other.Exec(time.Now().Add(tryTimeout), "SELECT pg_terminate_backend("+strconv.FormatUint(uint64(x.conn.Process()), 10)+")")
-	if err != nil {
-		x.s.server.options.Logger.Info("silent connection was not ended on the server", "server", x.held.server, "error", err)
-	}
-
-	x.held.pool.Put(other)
-}
-
 // extend moves the deadline for reads from a connection, unless the session was ended.
 func (s *session) extend(conn *backend.Conn, deadline time.Time) error {
 	s.mu.Lock()
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -38,9 +38,9 @@
 	viewPoll = 5 * time.Millisecond
 	// cancelGrace is the time that a server gets to answer a cancelled statement before its connection is given up.
 	cancelGrace = 2 * time.Second
-	// silence is the time without any answer after which a connection may have gone silent: a read is tried on another
-	// one, and a write is looked for among what the server runs.
-	silence = 3 * time.Second
+	// silence is the time after which a read without any answer is tried on another connection, because an open
+	// connection may have gone silent.
+	silence = 5 * time.Second
 )
 
 // request is what runs on one backend connection: a simple query, or a batch up to Sync.
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -408,11 +408,6 @@
 	return c.net.SetReadDeadline(deadline)
 }
 
-// Process returns the id of the server process that serves the connection.
-func (c *Conn) Process() uint32 {
-	return c.process
-}
-
 // Taint marks the connection so that it is closed instead of being used again.
 func (c *Conn) Taint() {
 	c.tainted.Store(true)
