internal/daemon: report a stop before new connections are refused

Found by TestStopOfProxyCutsNothing: after SIGTERM the health address changed to 503 at the same moment at which the listener was closed, so that a load balancer went on sending callers who were refused.

Cause: balancerDelay lengthened only the limit of the drain; nothing waited for it. The health address now reports the stop at once, and the drain begins balancerDelay later. Ruled out: the order of statements in Drain alone, because balancers ask periodically and need time.

Before: the connection after the first 503 is refused (connection refused). After: accepted, 3 of 3 runs with the race detector.

--- a/internal/daemon/proxy.go
+++ b/internal/daemon/proxy.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -56,6 +57,9 @@
 	server       *proxy.Server
 	peers        *grpc.Server
 	closers      []func()
+	// leaving is set when the proxy has been told to stop; the health address reports it before new connections
+	// are refused.
+	leaving atomic.Bool
 }
 
 // Proxy runs a proxy until the context ends, then shuts it down gracefully.
@@ -178,9 +182,10 @@
 	return nil
 }
 
-// drain stops new work, finishes what is in progress and then returns.
+// drain reports the stop to the load balancer, then stops new work, finishes what is in progress and returns.
 func (p *proxyProcess) drain() error {
 	p.Logger.Info("proxy drains", "sessions", p.server.Sessions())
+	p.leaving.Store(true)
 	p.client.Leave()
 
 	timing := settings.Defaults().Timing
@@ -188,7 +193,9 @@
 		timing = view.Running.Timing
 	}
 
-	ctx, cancel := context.WithTimeout(context.Background(), timing.DrainTimeout.Or(0)+balancerDelay)
+	time.Sleep(balancerDelay)
+
+	ctx, cancel := context.WithTimeout(context.Background(), timing.DrainTimeout.Or(0))
 	defer cancel()
 
 	return eris.Wrap(p.server.Drain(ctx), "drain")
@@ -217,7 +224,7 @@
 
 // health returns why the balancer should not send callers here.
 func (p *proxyProcess) health() error {
-	if p.server.Draining() {
+	if p.leaving.Load() || p.server.Draining() {
 		return result.New(result.Draining, "proxy %s is shutting down", p.Settings.VM.Name)
 	}
 
