internal/proxy: let a request in progress try again while the proxy drains

Found by TestStopOfProxyCutsNothing: a read that had been running for 5 s when its proxy was told to stop was answered with 1305, although the drain promises to finish requests in progress.

Cause: a read without an answer for 5 s is tried on another connection (silence), and the check for a drain refused this second attempt as new work. The check now applies to the first attempt. The check of the configuration still applies to every attempt and comes first, because a further attempt sends a statement under the lease. Ruled out: backend connections ended by the new coordinator; the log shows an i/o timeout of the read after 5 s.

--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -266,10 +266,10 @@
 	coordination := s.server.options.Coordination
 
 	switch {
-	case s.server.draining.Load():
-		return errDraining()
 	case coordination.View() == nil || !coordination.Confirmed():
 		return result.New(result.Unconfirmed, "the proxy can't confirm its configuration")
+	case s.server.draining.Load():
+		return errDraining()
 	}
 
 	return nil
@@ -281,7 +281,8 @@
 	s.server.budget.request(time.Now())
 
 	for {
-		if err := s.mayBegin(); err != nil {
+		// A drain lets requests in progress finish, and a further attempt belongs to the request.
+		if err := s.mayBegin(); err != nil && (r.attempts == 0 || result.CodeOf(err) != result.Draining) {
 			return &failure{err: err}
 		}
 
