--- a/internal/system/history_test.go
+++ b/internal/system/history_test.go
@@ -45,6 +45,8 @@
 	faults  atomic.Int64
 	// violations are answers that must never be given.
 	violations []string
+	// unplanned are answers to writes that are neither success nor a refusal with a code that says "not run".
+	unplanned []string
 }
 
 const (
@@ -114,6 +116,12 @@
 
 	_, err = conn.Exec(ctx, sql)
 
+	if ran, code := codeOf(err); err != nil && (code == result.OK || ran != result.RanNo) {
+		h.mutex.Lock()
+		h.unplanned = append(h.unplanned, fmt.Sprintf("%s through %s: %v", sql, proxy.name, err))
+		h.mutex.Unlock()
+	}
+
 	return outcomeOf(err)
 }
 
