internal/proxy: measure what a slow reader holds, without passing garbage

Cause: TestSlowReaderOfALargeAnswer failed in 2 of 7 runs on a busy machine with a heap of 20 and 24 MiB. Rows were still streaming between the collection and the reading of the heap, so that their garbage counted as buffered. Change: at each look the reader stops until nothing moves any more, then the heap is measured. The bound of 16 MiB and the 100 MB answer are as before; the reader is now really slow, which makes the check stricter.

--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -304,6 +304,10 @@
 		require.Len(t, result.Values()[0], rowSize)
 
 		if count++; count%50 == 0 {
+			// The reader stops here until everything on the way is full. Garbage of rows that are still passed on
+			// would count as buffered otherwise.
+			stalled(&sent)
+
 			grown = max(grown, heap()-base)
 			ahead = max(ahead, sent.Load()-int64(count)*rowSize)
 		}
@@ -317,6 +321,25 @@
 	t.Logf("heap grew by at most %d KiB; the server was at most %d KiB ahead of the reader", grown>>10, ahead>>10)
 }
 
+// stalled returns once a counter has not changed for a while.
+func stalled(counter *atomic.Int64) {
+	const (
+		period = 10 * time.Millisecond
+		looks  = 5
+	)
+
+	for last, same := counter.Load(), 0; same < looks; {
+		time.Sleep(period)
+
+		now := counter.Load()
+		if now == last {
+			same++
+		} else {
+			last, same = now, 0
+		}
+	}
+}
+
 // Guards against a planned stop that interrupts a transaction, or that lets new work begin.
 func TestDrain(t *testing.T) {
 	c := newCluster(t, options{replicas: 1, proxies: []string{"p1", "p2"}})
