internal/coordination: report a primary that requests can't use to control

Change: a proxy whose request could not use a primary reports it to control itself, at most every 2 s; control decides by observers on other VMs as before. Ruled out: moving the coordinator away on such a report; the observers' reports already decide. Also internal/system: every listener of a test gets a loopback address of its own. Four tests failed because an outgoing connection had taken a free port before the process listened on it.

--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -29,6 +29,8 @@
 	done    sync.WaitGroup
 	// failed holds when each server was last reported as failed.
 	failed sync.Map
+	// suspected holds when each primary was last reported to control because a request could not use it.
+	suspected sync.Map
 	// links and coordinators are replaced by apply.
 	links        atomic.Pointer[map[string]*link]
 	coordinators atomic.Pointer[map[string]*coordinator.Coordinator]
@@ -205,6 +207,26 @@
 	if link, err := c.link(view.Servers[server].Group); err == nil {
 		link.failed(server)
 	}
+
+	c.suspectPrimary(view, server, now)
+}
+
+// suspectPrimary tells control that this proxy can't use a primary. The coordinator may be on the same side of a
+// partition as the primary and see nothing wrong; control decides by what other observers see.
+func (c *Coordination) suspectPrimary(view *registry.View, server string, now time.Time) {
+	group, found := view.Groups[view.Servers[server].Group]
+	if !found || group.Primary != server || c.options.Suspect == nil {
+		return
+	}
+
+	last, again := c.suspected.Swap(server, now)
+	if again && now.Sub(last.(time.Time)) < suspectInterval {
+		c.suspected.Store(server, last)
+
+		return
+	}
+
+	c.options.Suspect(group.Name, group.Term, server, "a request could not use the primary")
 }
 
 // ForwardCancel implements proxy.Coordination.
--- a/internal/coordination/options.go
+++ b/internal/coordination/options.go
@@ -43,7 +43,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Open opens an administrative connection. Nil stands for backend.OpenAdmin with Login.
 	Open coordinator.Opener
-	// Suspect tells control that a server of a group that this proxy coordinates seems dead.
+	// Suspect tells control that a server of a group that this proxy coordinates seems dead, or that requests can't
+	// use a primary.
 	Suspect func(group string, term position.Term, server, reason string)
 	// Cancel handles a cancel request for one of this proxy's sessions.
 	Cancel func(process uint32, secret []byte)
@@ -67,6 +68,8 @@
 	failingTime = 2 * time.Second
 	// refreshTime is the age of observations above which new ones are asked for.
 	refreshTime = 250 * time.Millisecond
+	// suspectInterval is the least time between two reports of the same primary to control by requests.
+	suspectInterval = 2 * time.Second
 	// answerMargin is the part of a caller's deadline that is kept for the way back of the answer, as a divisor.
 	answerMargin = 10
 	// leastBackoff and mostBackoff bound the time between attempts.
--- a/internal/system/harness_test.go
+++ b/internal/system/harness_test.go
@@ -11,8 +11,10 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -503,15 +505,28 @@
 	t.Fatalf("%s: not within %s: %v", what, limit, err)
 }
 
-// freeAddress returns a loopback address on which nothing listens at present.
+// nextAddress numbers the loopback addresses of this test process.
+//
+//nolint:gochecknoglobals // It counts over all tests.
+var nextAddress atomic.Uint32
+
+// freeAddress returns a loopback address of its own for each listener. A free port of 127.0.0.1 may be taken by an
+// outgoing connection before the process listens; outgoing connections don't use other addresses of the loopback range.
 func freeAddress(t *testing.T) string {
 	t.Helper()
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // A test.
-	require.NoError(t, err)
-	defer listener.Close()
+	const (
+		firstBlock, blocks = 20, 100
+		perBlock           = 250
+		port               = 7000
+	)
+
+	number := int(nextAddress.Add(1))
+	require.Less(t, number, perBlock*perBlock)
+
+	address := net.IPv4(127, byte(firstBlock+os.Getpid()%blocks), byte(1+number/perBlock), byte(1+number%perBlock))
 
-	return listener.Addr().String()
+	return net.JoinHostPort(address.String(), strconv.Itoa(port))
 }
 
 // lockedBuffer collects the output of a process.
