--- a/internal/system/control_test.go
+++ b/internal/system/control_test.go
@@ -384,8 +384,6 @@
 // Guards against two operators who both win a number, against a resend that changes something again, against a
 // proxy that goes back to an older configuration, and against a restart that forgets changes.
 func TestConfigurationRace(t *testing.T) {
-	t.Parallel()
-
 	d := deploy(t, shape{controls: 3, proxies: 2, members: 3})
 	r := startRace(d, 3)
 
@@ -435,8 +433,6 @@
 // Guards against a control leader that was frozen while others took over, and then answers from its old state. The
 // requests wait in its sockets when it is thawed.
 func TestFrozenControlLeader(t *testing.T) {
-	t.Parallel()
-
 	d := deploy(t, shape{controls: 3, proxies: 2, members: 3})
 	r := startRace(d, 2)
 
--- a/internal/system/leaving_test.go
+++ b/internal/system/leaving_test.go
@@ -152,8 +152,6 @@
 // connections to it, from a primary's sessions, and from proxies that control can't reach to tell them. The count is
 // the server's own.
 func TestLeavingServerGetsNoWork(t *testing.T) {
-	t.Parallel()
-
 	tests := []struct {
 		name string
 		// primary says whether the primary leaves, or a replica.
--- a/internal/system/roaming_test.go
+++ b/internal/system/roaming_test.go
@@ -105,8 +105,6 @@
 // Guards against a session that carries its token through proxies and groups and misses one of its own writes, with
 // replicas that lag, before, during and after failovers of one of the groups.
 func TestRoamingSessionWithToken(t *testing.T) {
-	t.Parallel()
-
 	groups := []string{"students", "staff"}
 	d := deploy(t, shape{controls: 1, proxies: 3, members: 3, groups: groups, memberArgs: []string{"--lag", "300ms"}})
 
@@ -180,8 +178,6 @@
 // Guards against a control process without its disk that votes before it has caught up, so that the loss of a second
 // one right after the repair loses accepted changes.
 func TestControlDiskLostThenSecondLoss(t *testing.T) {
-	t.Parallel()
-
 	d := deploy(t, shape{controls: 3, proxies: 2, members: 3})
 	r := &race{d: d, base: d.confirmedStatus().GetSettings(), first: d.confirmedStatus().GetConfiguration()}
 	number, changes, faults := r.first, 0, 0
--- a/internal/system/stop_test.go
+++ b/internal/system/stop_test.go
@@ -114,8 +114,6 @@
 // Guards against a planned stop of a proxy that cuts a transaction, a statement or an answer in progress, that
 // refuses new connections before the load balancer could notice, or that ends with a failure.
 func TestStopOfProxyCutsNothing(t *testing.T) {
-	t.Parallel()
-
 	d := deploy(t, shape{controls: 1, proxies: 2, members: 3, memberArgs: []string{"--slots", "20"}})
 	proxy := d.proxies[0]
 	setup := d.connect(d.proxies[1], "")
@@ -210,8 +208,6 @@
 // Guards against a planned stop that answers a running caller with anything but success or a refusal of a request
 // that did not run. Callers connect again through the other proxies, as a load balancer makes them.
 func TestStopOfProxyUnderLoad(t *testing.T) {
-	t.Parallel()
-
 	d := deploy(t, shape{controls: 1, proxies: 3, members: 3})
 	h := startHistory(d, 8)
 	h.progress(20)
@@ -236,8 +232,6 @@
 // Guards against a planned move of the primary that loses an acknowledged write, leaves an outcome unknown, or shows
 // callers the errors of a server that no longer takes writes.
 func TestDrainOfPrimaryUnderLoad(t *testing.T) {
-	t.Parallel()
-
 	d := deploy(t, shape{controls: 3, proxies: 2, members: 3})
 	h := startHistory(d, 9)
 	h.progress(20)
@@ -272,8 +266,6 @@
 // Guards against requests that stop making progress, or sessions that are cut, when a proxy stops while callers hold
 // many idle connections: each learns by a "not run" code that it has to connect again.
 func TestStopOfProxyTellsIdleSessions(t *testing.T) {
-	t.Parallel()
-
 	d := deploy(t, shape{controls: 1, proxies: 2, members: 3})
 	proxy := d.proxies[0]
 
