--- a/internal/daemon/proxy.go
+++ b/internal/daemon/proxy.go
@@ -16,6 +16,7 @@
 	"almondgrade/core/position"
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
+	"almondgrade/core/route"
 	"almondgrade/core/settings"
 	"almondgrade/core/timer"
 	"almondgrade/internal/coordination"
@@ -43,6 +44,8 @@
 	Level    *slog.LevelVar
 	// Ready is called, if it is set, with the address for callers once the proxy listens.
 	Ready func(netip.AddrPort)
+	// Route names the routing policy of a proxy, for comparisons; empty means the default.
+	Route string
 }
 
 // proxyProcess holds the parts of a running proxy.
@@ -121,6 +124,7 @@
 	p.coordination = coordination.New(coordination.Options{
 		Name: vm.Name, Instance: self.Instance, Centre: vm.Centre, Source: p.client, Login: backendLogin(p.Settings.Running),
 		Timer: p.clock, Logger: p.Logger, Metrics: p.counters.Registry, Suspect: p.suspect,
+		Recall: func(server string, count int) { p.server.Recall(server, count) },
 		Cancel: func(process uint32, secret []byte) { p.server.Cancel(context.WithoutCancel(ctx), process, secret) },
 	})
 	p.closers = append(p.closers, p.coordination.Close)
@@ -151,9 +155,18 @@
 		backends = p.keys.Client("")
 	}
 
+	var router proxy.Router
+
+	if p.Route != "" {
+		if router, err = route.Named(p.Route); err != nil {
+			return err //nolint:wrapcheck // It lists the names.
+		}
+	}
+
 	p.server = proxy.NewServer(proxy.Options{
-		Coordination: p.coordination, Name: p.Settings.VM.Name, Listener: listener, Logger: p.Logger,
+		Coordination: p.coordination, Name: p.Settings.VM.Name, Application: p.coordination.Application(), Listener: listener, Logger: p.Logger,
 		Metrics: p.counters.Registry, TLS: callers, BackendTLS: backends, CallerLimit: p.Settings.VM.CallerLimit,
+		Router: router,
 	})
 
 	if p.Ready != nil {
@@ -265,7 +278,7 @@
 	return addresses
 }
 
-func closeHTTP(close func(context.Context) error) func() { //nolint:revive // The name says what it does.
+func closeHTTP(close func(context.Context) error) func() {
 	return func() {
 		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 		defer cancel()
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -29,7 +29,7 @@
 // pools holds one pool for each server and database. It is safe for concurrent use.
 type pools struct {
 	coordination Coordination
-	name         string
+	application  string
 	tls          *tls.Config
 	number       atomic.Uint64
 
@@ -48,12 +48,17 @@
 	server string
 	// identity tells a server that returned under the same name from the one that the pool connects to.
 	identity string
+	inquirer *backend.Inquirer
 	load     atomic.Int64
 }
 
 func newPools(options Options) *pools {
+	if options.Application == "" {
+		options.Application = "ag/" + options.Name + "/"
+	}
+
 	return &pools{
-		coordination: options.Coordination, name: options.Name, tls: options.BackendTLS,
+		coordination: options.Coordination, application: options.Application, tls: options.BackendTLS,
 		pools: make(map[poolKey]*serverPool),
 	}
 }
@@ -82,16 +87,19 @@
 		pool.Close()
 	}
 
-	pool = &serverPool{server: server.Name, identity: identity}
-	pool.Pool = backend.NewPool(backend.Options{
+	acquire := func(ctx context.Context, urgent bool) (backend.Permit, error) {
+		return p.coordination.Connection(ctx, server.Name, urgent)
+	}
+	options := backend.Options{
 		Address:     server.Address,
 		Login:       func() (backend.Login, error) { return p.login(database) },
-		Application: func() string { return "ag/" + p.name + "/" + strconv.FormatUint(p.number.Add(1), 10) },
+		Application: func() string { return p.application + strconv.FormatUint(p.number.Add(1), 10) },
 		Connect:     connectTimeout,
 		TLS:         p.tls,
-	}, func(ctx context.Context, urgent bool) (backend.Permit, error) {
-		return p.coordination.Connection(ctx, server.Name, urgent)
-	})
+	}
+	pool = &serverPool{server: server.Name, identity: identity, inquirer: backend.NewInquirer(options, acquire)}
+	options.Abandoned = pool.inquirer.Terminate
+	pool.Pool = backend.NewPool(options, acquire)
 	p.pools[key] = pool
 
 	return pool
@@ -138,6 +146,24 @@
 	}
 }
 
+// recall closes up to a number of idle connections to a server, because others wait for the permits.
+func (p *pools) recall(server string, count int) {
+	p.mu.RLock()
+
+	var present []*serverPool
+
+	for key, pool := range p.pools {
+		if key.server == server {
+			present = append(present, pool)
+		}
+	}
+	p.mu.RUnlock()
+
+	for _, pool := range present {
+		count -= pool.Shrink(count)
+	}
+}
+
 func (p *pools) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"almondgrade/core/position"
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
+	"almondgrade/core/route"
 	"almondgrade/core/settings"
 	"almondgrade/core/statement"
 	"almondgrade/io/backend"
@@ -25,6 +27,12 @@
 	classWrite
 )
 
+// Values of a traffic rule.
+const (
+	poolingSession    = "session"
+	sessionConnection = "connection"
+)
+
 const (
 	// viewPoll is the interval at which a request that waits for a new view looks for one.
 	viewPoll = 5 * time.Millisecond
@@ -123,7 +131,7 @@
 		r.name, s.request = s.request, ""
 	}
 
-	if r.rule.Pooling == "session" || r.name != "" {
+	if r.rule.Pooling == poolingSession || r.name != "" {
 		// What later statements need is not known, or a record is to be written.
 		r.class = classWrite
 	}
@@ -231,7 +239,7 @@
 			return &failure{err: err}
 		}
 
-		held.slot, err = s.server.options.Coordination.Slot(ctx, held.server, r.rule.Urgent)
+		err = s.occupy(ctx, held, r)
 
 		leave()
 
@@ -240,12 +248,6 @@
 		}
 	}
 
-	if s.status == statusIdle {
-		if err := s.prepare(held, r); err != nil {
-			return s.lostHeld(&failure{err: err})
-		}
-	}
-
 	return s.lostHeld(s.exchange(ctx, r, held))
 }
 
@@ -278,7 +280,7 @@
 // fresh runs a request that begins outside a transaction, on whichever server it needs, and again if it is certain
 // that it did not run or that it only read.
 func (s *session) fresh(ctx context.Context, r *request) *failure {
-	s.server.budget.request(time.Now())
+	s.server.budget.Request(time.Now())
 
 	for {
 		// A drain lets requests in progress finish, and a further attempt belongs to the request.
@@ -336,7 +338,7 @@
 		return false
 	}
 
-	if !s.server.budget.retry(time.Now()) {
+	if !s.server.budget.Retry(time.Now()) {
 		counters.add(counterRetryDenied)
 
 		return false
@@ -398,7 +400,8 @@
 		return &failure{err: err, server: server.Name}
 	}
 
-	if known := held.conn.Parameters; s.server.parameters.Load() == nil {
+	if s.server.parameters.Load() == nil {
+		known := maps.Clone(held.conn.Parameters)
 		s.server.parameters.Store(&known)
 	}
 
@@ -491,6 +494,7 @@
 
 	begin := time.Now()
 	wait := time.Duration(s.timing().ReplicaWait)
+	waits := 0
 
 	for {
 		view, group := s.view()
@@ -504,36 +508,30 @@
 		}
 
 		now := time.Now()
-		choice := s.server.options.Router.Read(ReadRequest{
-			View: view, Group: group, Observations: observations, Floor: floor, MaxAge: time.Duration(r.rule.MaxAge),
-			Now: now, Wait: wait - now.Sub(begin), Turn: s.server.turn.Add(1),
-			Avoid: func(server string) bool { return contains(r.avoid, server) },
-			Load: func(server string) int64 {
-				return s.server.pools.load(server, view.Running.Pools[s.target.pool].Database)
-			},
-		})
-
-		if server, known := view.Servers[choice.Server]; known && !choice.Wait {
-			if choice.Primary && server.Leaving {
-				view, server, err = s.choosePrimary(ctx, floor.Term)
-
-				return view, server, err
-			}
+		wanted := s.routeRequest(r, view, group, observations, now)
+		wanted.Floor, wanted.Wait = floor, wait-now.Sub(begin)
+		choice := s.server.options.Router.Choose(wanted)
 
-			s.chosen(choice, observations)
+		switch choice.Kind {
+		case route.Replica, route.Primary:
+			if server, known := view.Servers[choice.Server]; known {
+				s.chosen(choice, observations)
 
-			return view, server, nil
-		}
+				return view, server, nil
+			}
 
-		if !choice.Wait {
 			return s.choosePrimary(ctx, floor.Term)
+		case route.Nothing:
+			// Only the primary can serve the read, and it gets no new work at present.
+			return s.choosePrimary(ctx, floor.Term)
+		case route.Wait:
 		}
 
-		if now.Sub(begin) < viewPoll {
+		if waits++; waits == 1 {
 			s.server.counters.add(counterReplicaWait)
 		}
 
-		if err := pause(ctx, viewPoll); err != nil {
+		if err := pause(ctx, min(choice.Wait, viewPoll)); err != nil {
 			return nil, registry.Server{}, err
 		}
 
@@ -548,8 +546,8 @@
 
 // chosen counts a read and raises the session's floor to what the replica is known to show, so that a later read does
 // not go back behind it.
-func (s *session) chosen(choice ReadChoice, observations []Observation) {
-	if choice.Primary {
+func (s *session) chosen(choice route.Choice, observations []Observation) {
+	if choice.Kind == route.Primary {
 		s.server.counters.add(counterPrimaryReads)
 
 		return
@@ -568,7 +566,7 @@
 func (s *session) floor(ctx context.Context, r *request) (position.Position, []Observation, error) {
 	coordination := s.server.options.Coordination
 
-	if s.anchored || r.rule.Session == "connection" {
+	if s.anchored || r.rule.Session == sessionConnection {
 		if s.begun {
 			floor, _ := s.token.Floor(s.target.group)
 
@@ -586,7 +584,7 @@
 		floor = own
 	}
 
-	if s.anchored || r.rule.Session == "connection" {
+	if s.anchored || r.rule.Session == sessionConnection {
 		s.token.Raise(s.target.group, floor)
 		s.begun = true
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -19,6 +19,8 @@
 
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
+	"almondgrade/core/retry"
+	"almondgrade/core/route"
 	"almondgrade/core/settings"
 	"almondgrade/io/caller"
 )
@@ -47,6 +49,9 @@
 	Coordination Coordination
 	// Name is the proxy's name, as in the registry.
 	Name string
+	// Application begins the application names of backend connections, by which the coordinator counts them; empty
+	// means "ag/NAME/".
+	Application string
 	// Listener accepts callers.
 	Listener net.Listener
 	Logger   *slog.Logger
@@ -57,7 +62,7 @@
 	BackendTLS *tls.Config
 	// CallerLimit bounds the caller connections; zero means no limit but that of cancel keys.
 	CallerLimit int
-	// Router chooses servers for reads; nil means the built-in choice.
+	// Router chooses servers for reads; nil means the policy "fresh".
 	Router Router
 }
 
@@ -66,7 +71,7 @@
 	options  Options
 	pools    *pools
 	counters counters
-	budget   budget
+	budget   *retry.Budget
 	turn     atomic.Uint64
 	waiting  waiting
 	// parameters are what a backend server reported at login, for the greeting of callers.
@@ -91,12 +96,12 @@
 
 func (w *waiting) of(rule string) *atomic.Int64 {
 	if counter, found := w.rules.Load(rule); found {
-		return counter.(*atomic.Int64) //nolint:errcheck,forcetypeassert // The map holds nothing else.
+		return counter.(*atomic.Int64)
 	}
 
 	counter, _ := w.rules.LoadOrStore(rule, new(atomic.Int64))
 
-	return counter.(*atomic.Int64) //nolint:errcheck,forcetypeassert // The map holds nothing else.
+	return counter.(*atomic.Int64)
 }
 
 // NewServer returns a server that is not running yet.
@@ -110,13 +115,14 @@
 	}
 
 	if options.Router == nil {
-		options.Router = leastLoaded{}
+		options.Router, _ = route.Named("fresh")
 	}
 
 	server := &Server{
 		options:  options,
 		pools:    newPools(options),
 		counters: counters{registry: options.Metrics},
+		budget:   newBudget(),
 		sessions: make(map[uint32]*session),
 		empty:    make(chan struct{}),
 	}
@@ -162,6 +168,8 @@
 }
 
 // accept takes connections until the listener is closed.
+//
+//nolint:contextcheck // A session outlives the context while the proxy drains.
 func (s *Server) accept(ctx context.Context) error {
 	for {
 		conn, err := s.options.Listener.Accept()
@@ -446,6 +454,11 @@
 	return err
 }
 
+// Recall closes up to a number of idle connections to a backend server, because other proxies wait for them.
+func (s *Server) Recall(server string, count int) {
+	s.pools.recall(server, count)
+}
+
 // Draining reports whether Drain was called.
 func (s *Server) Draining() bool {
 	return s.draining.Load()
