internal/bench, internal/local: add almonddev bench failover

Change: local.Start starts a system whose members can be broken; bench failover injects stop, freeze and cut into primaries under steady writes, splits the gap by the messages of the control process and checks that no acknowledged write is lost. Thresholds of the detection take turns within one run by configuration changes. Short freezes count false promotions.

--- a/cmd/almonddev/bench.go
+++ b/cmd/almonddev/bench.go
@@ -15,9 +15,10 @@
 
 // benchCommand groups the subcommands of bench.
 type benchCommand struct {
-	List    benchList    `command:"list" description:"List the workloads"`
-	Run     benchRun     `command:"run" description:"Run a workload against proxies"`
-	Compare benchCompare `command:"compare" description:"Compare two results"`
+	List     benchList     `command:"list" description:"List the workloads"`
+	Run      benchRun      `command:"run" description:"Run a workload against proxies"`
+	Compare  benchCompare  `command:"compare" description:"Compare two results"`
+	Failover benchFailover `command:"failover" description:"Run a system in this process and measure changes of primary"`
 }
 
 func benchSubcommand() subcommand {
@@ -71,15 +72,8 @@
 		return err
 	}
 
-	if c.Out != "" {
-		encoded, err := json.MarshalIndent(result, "", "  ")
-		if err != nil {
-			return err
-		}
-
-		if err := os.WriteFile(c.Out, append(encoded, '\n'), 0o600); err != nil {
-			return err
-		}
+	if err := writeResult(c.Out, result); err != nil {
+		return err
 	}
 
 	if err := result.Write(os.Stdout); err != nil {
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,83 +13,193 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"almondgrade/core/settings"
 	"almondgrade/internal/daemon"
 	"almondgrade/internal/standin"
+	"almondgrade/io/control"
 )
 
 // Options describe the system to run.
 type Options struct {
-	// Listen is the address of the first proxy for callers; the second one listens on the next port.
+	// Listen is the address of the first proxy for callers; the others listen on the next ports. If it is not set,
+	// all listen on free ports of 127.0.0.1.
 	Listen netip.AddrPort
+	// Proxies is the number of proxies, two if it is zero.
+	Proxies int
+	// Centres are the data centres over which proxies and stand-ins are spread in turn; one if it is empty.
+	Centres []string
 	// Members is the number of stand-ins, Lag the delay with which replicas show what they have received.
 	Members int
 	Lag     time.Duration
-	Logger  *slog.Logger
+	// Timing replaces the default durations if it is set.
+	Timing *settings.Timing
+	Logger *slog.Logger
 	// Out receives the addresses and a client command once the system serves.
 	Out io.Writer
 }
 
 const (
-	poolName  = "main"
-	groupName = "group1"
-	userName  = "almond"
+	// PoolName is the pool that callers connect to, GroupName its only group, and UserName a user without password.
+	PoolName  = "main"
+	GroupName = "group1"
+	UserName  = "almond"
+
+	defaultProxies = 2
+	// proxyPorts is the number of addresses of a proxy.
+	proxyPorts = 4
 	// serveLimit bounds the time until the system serves.
 	serveLimit = time.Minute
 )
 
+// System is a running system.
+type System struct {
+	// Control is the address of the control process, Callers are those of the proxies for callers.
+	Control netip.AddrPort
+	Callers []netip.AddrPort
+	Members []*standin.Member
+	Running settings.Running
+
+	folder string
+	group  *errgroup.Group
+	cancel context.CancelFunc
+}
+
 // Run runs the system until the context ends.
 func Run(ctx context.Context, options Options) error {
-	folder, err := os.MkdirTemp("", "almondgrade-up")
-	if err != nil {
-		return eris.Wrap(err, "temporary data folder")
-	}
-	defer os.RemoveAll(folder)
+	group, ctx := errgroup.WithContext(ctx)
 
-	addresses, err := freeAddresses(ctx, 7)
+	system, err := start(ctx, group, options)
 	if err != nil {
 		return err
 	}
+	defer system.remove()
+
+	group.Go(func() error { return announceReady(ctx, options, system.Callers...) })
 
-	second := netip.AddrPortFrom(options.Listen.Addr(), options.Listen.Port()+1)
-	base := baseSettings(addresses[0])
-	control := base
-	control.VM = settings.VM{Name: "control1", Centre: "local", Control: addresses[0], Data: folder}
-	first, other := base, base
-	first.VM = proxyVM("proxy1", options.Listen, addresses[1:4])
-	other.VM = proxyVM("proxy2", second, addresses[4:7])
+	return group.Wait() //nolint:wrapcheck // The errors above are complete.
+}
 
+// Start starts a system and returns when every proxy serves. It must be closed.
+func Start(ctx context.Context, options Options) (*System, error) {
+	ctx, cancel := context.WithCancel(ctx)
 	group, ctx := errgroup.WithContext(ctx)
+
+	system, err := start(ctx, group, options)
+	if err != nil {
+		cancel()
+
+		return nil, err
+	}
+
+	system.cancel = cancel
+
+	if err := waitReady(ctx, system.Callers); err != nil {
+		return nil, errors.Join(err, system.Close())
+	}
+
+	return system, nil
+}
+
+// Close ends the system and removes its data.
+func (s *System) Close() error {
+	s.cancel()
+
+	defer s.remove()
+
+	return s.group.Wait() //nolint:wrapcheck // The errors of the parts are complete.
+}
+
+func (s *System) remove() {
+	closeMembers(s.Members)
+	_ = os.RemoveAll(s.folder)
+}
+
+// Leader returns a caller for requests to control, which must be closed.
+func (s *System) Leader() *control.Caller {
+	return control.NewCaller([]netip.AddrPort{s.Control}, func(address netip.AddrPort) (*grpc.ClientConn, error) {
+		return grpc.NewClient("passthrough:///"+address.String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	})
+}
+
+func start(ctx context.Context, group *errgroup.Group, options Options) (*System, error) {
+	options = options.withDefaults()
+
+	addresses, err := freeAddresses(ctx, 1+proxyPorts*options.Proxies)
+	if err != nil {
+		return nil, err
+	}
+
+	folder, err := os.MkdirTemp("", "almondgrade-up")
+	if err != nil {
+		return nil, eris.Wrap(err, "temporary data folder")
+	}
+
+	base := baseSettings(addresses[0], options)
+	system := &System{Control: addresses[0], Running: base.Running, folder: folder, group: group}
+	first := base
+	first.VM = settings.VM{Name: "control1", Centre: options.centre(0), Control: addresses[0], Data: folder}
+
 	group.Go(func() error {
 		// Control goes on until the proxies have drained.
-		return daemon.Control(ctx, daemon.Parts{Settings: control, Logger: options.Logger.With("vm", "control1")})
+		return daemon.Control(ctx, daemon.Parts{Settings: first, Logger: options.Logger.With("vm", first.VM.Name)})
 	})
 
-	for _, each := range []settings.Settings{first, other} {
+	var announce []string
+
+	for i := range options.Proxies {
+		each := base
+		free := addresses[1+proxyPorts*i:]
+		caller := free[proxyPorts-1]
+
+		if options.Listen.IsValid() {
+			caller = netip.AddrPortFrom(options.Listen.Addr(), options.Listen.Port()+uint16(i))
+		}
+
+		each.VM = proxyVM(fmt.Sprintf("proxy%d", i+1), options.centre(i), caller, free)
+		system.Callers = append(system.Callers, caller)
+		announce = append(announce, each.VM.Platform.String())
+
 		group.Go(func() error {
 			return daemon.Proxy(ctx, daemon.Parts{Settings: each, Logger: options.Logger.With("vm", each.VM.Name)})
 		})
 	}
 
-	announce := []string{first.VM.Platform.String(), other.VM.Platform.String()}
+	if system.Members, err = startMembers(options, announce); err != nil {
+		system.remove()
 
-	members, err := startMembers(options, announce)
-	defer closeMembers(members)
+		return nil, err
+	}
 
-	if err != nil {
-		return err
+	return system, nil
+}
+
+func (o Options) withDefaults() Options {
+	if o.Proxies == 0 {
+		o.Proxies = defaultProxies
 	}
 
-	group.Go(func() error { return announceReady(ctx, options, options.Listen, second) })
+	if len(o.Centres) == 0 {
+		o.Centres = []string{"local"}
+	}
 
-	return group.Wait() //nolint:wrapcheck // The errors above are complete.
+	return o
+}
+
+func (o Options) centre(i int) string {
+	return o.Centres[i%len(o.Centres)]
 }
 
-func baseSettings(control netip.AddrPort) settings.Settings {
+func baseSettings(control netip.AddrPort, options Options) settings.Settings {
 	running := settings.Defaults()
-	running.Users = map[string]settings.User{userName: {}}
-	running.Pools = map[string]settings.Pool{poolName: {Groups: []string{groupName}, Database: "main"}}
+	running.Users = map[string]settings.User{UserName: {}}
+	running.Pools = map[string]settings.Pool{PoolName: {Groups: []string{GroupName}, Database: "main"}}
+
+	if options.Timing != nil {
+		running.Timing = *options.Timing
+	}
 
 	return settings.Settings{
 		Format: settings.Format, Site: "local", Running: running,
@@ -96,9 +207,9 @@
 	}
 }
 
-func proxyVM(name string, caller netip.AddrPort, addresses []netip.AddrPort) settings.VM {
+func proxyVM(name, centre string, caller netip.AddrPort, addresses []netip.AddrPort) settings.VM {
 	return settings.VM{
-		Name: name, Centre: "local", Caller: caller, Peer: addresses[0], Platform: addresses[1], Operator: addresses[2],
+		Name: name, Centre: centre, Caller: caller, Peer: addresses[0], Platform: addresses[1], Operator: addresses[2],
 	}
 }
 
@@ -107,7 +218,7 @@
 
 	for i := range options.Members {
 		member, err := standin.New(standin.Options{
-			Name: fmt.Sprintf("%s%c", groupName, 'a'+i), Group: groupName, Centre: "local", Primary: i == 0,
+			Name: fmt.Sprintf("%s%c", GroupName, 'a'+i), Group: GroupName, Centre: options.centre(i), Primary: i == 0,
 			Listen: netip.MustParseAddrPort("127.0.0.1:0"), Lag: options.Lag, Announce: announce,
 		})
 		if err != nil {
