--- a/cmd/almonddev/bench.go
+++ b/cmd/almonddev/bench.go
@@ -19,6 +19,7 @@
 	Run      benchRun      `command:"run" description:"Run a workload against proxies"`
 	Compare  benchCompare  `command:"compare" description:"Compare two results"`
 	Failover benchFailover `command:"failover" description:"Run a system in this process and measure changes of primary"`
+	Control  benchControl  `command:"control" description:"Measure the cost of control for numbers of proxies and groups"`
 }
 
 func benchSubcommand() subcommand {
