--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -155,7 +155,7 @@
 		clock: timer.New(), state: registry.NewState(), server: grpc.NewServer(),
 		address: netip.MustParseAddrPort(listener.Addr().String()), running: controlSettings(groups),
 	}
-	s.control = controller.New(controller.Options{
+	s.control = controller.New(controller.Options{ //nolint:contextcheck // Close ends it.
 		Name: "control1", Log: newMemoryLog(s.state, s.address), State: s.state, First: s.running,
 		Login: func(settings.Running) backend.Login { return backend.Login{User: "almondgrade", Database: "main"} },
 		Dial:  s.dial(nil), Timer: s.clock, Logger: options.Logger, Metrics: metrics.NewRegistry(),
@@ -273,7 +273,7 @@
 	rounds := 0
 
 	for end := time.Now().Add(span); time.Now().Before(end); rounds++ {
-		if err := s.announce(ctx, groups, uint64(rounds+2)); err != nil { //nolint:gosec // A small number.
+		if err := s.announce(ctx, groups, uint64(rounds+2)); err != nil {
 			return rounds, err
 		}
 
@@ -287,10 +287,10 @@
 func (s *controlSystem) join(ctx context.Context, options ControlOptions, proxies, groups int, tracker *tracker) error {
 	for i := range proxies {
 		proxy := &simulatedProxy{done: make(chan struct{}), arrived: tracker.arrived}
-		proxy.client = control.New(control.Options{
+		proxy.client = control.New(control.Options{ //nolint:contextcheck // Close ends it.
 			Members: []netip.AddrPort{s.address}, Dial: s.dial(&proxy.bytes), Timer: s.clock, Logger: options.Logger,
 			Proxy: registry.Proxy{
-				Name: fmt.Sprintf("proxy%04d", i), Instance: uint64(i) + 1, //nolint:gosec // A small number.
+				Name: fmt.Sprintf("proxy%04d", i), Instance: uint64(i) + 1,
 				Peer: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(1000+i)), Centre: fmt.Sprintf("centre%d", i%serversOfGroup),
 			},
 		})
--- a/internal/bench/controlresult.go
+++ b/internal/bench/controlresult.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"io"
 	"math"
+	"strings"
 	"text/tabwriter"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // ControlResult is the outcome of an experiment with the cost of control.
@@ -162,20 +165,31 @@
 
 // Write prints the cells and fits as tables.
 func (r ControlResult) Write(to io.Writer) error {
-	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "proxies\tgroups\tidle cpu ms/s\tidle B/s a proxy\tcpu ms a change\tB a change a proxy\tcpu µs an announcement\tleader heap KB\theap KB a proxy\tdelay min/median/max ms")
+	var table strings.Builder
+
+	fmt.Fprintln(&table, "proxies\tgroups\tidle cpu ms/s\tidle B/s a proxy\tcpu ms a change\tB a change a proxy\tcpu µs an announcement\tleader heap KB\theap KB a proxy\tdelay min/median/max ms")
 
 	for _, c := range r.Cells {
-		fmt.Fprintf(table, "%d\t%d\t%.1f\t%.0f\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f/%.1f/%.1f\n", c.Proxies, c.Groups, c.IdleCPU,
+		fmt.Fprintf(&table, "%d\t%d\t%.1f\t%.0f\t%.1f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f/%.1f/%.1f\n", c.Proxies, c.Groups, c.IdleCPU,
 			c.IdleBytes, c.ChangeCPU, c.ChangeBytes, 1000*c.AnnounceCPU, c.LeaderHeap/1000, c.ProxyHeap/1000,
 			c.Delay.Min, c.Delay.Median, c.Delay.Max)
 	}
 
-	fmt.Fprintln(table, "fit\tconstant\ta proxy\ta group\ta proxy and group\tdeviation")
+	fmt.Fprintln(&table, "fit\tconstant\ta proxy\ta group\ta proxy and group\tdeviation")
 
 	for _, f := range r.Fits {
-		fmt.Fprintf(table, "%s\t%.4g\t%.4g\t%.4g\t%.4g\t%.4g\n", f.Figure, f.Constant, f.PerProxy, f.PerGroup, f.PerProduct, f.Deviation)
+		fmt.Fprintf(&table, "%s\t%.4g\t%.4g\t%.4g\t%.4g\t%.4g\n", f.Figure, f.Constant, f.PerProxy, f.PerGroup, f.PerProduct, f.Deviation)
+	}
+
+	return writeTable(to, table.String())
+}
+
+// writeTable prints lines of cells that are separated by tabs.
+func writeTable(to io.Writer, text string) error {
+	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(table, text); err != nil {
+		return eris.Wrap(err, "print result")
 	}
 
-	return table.Flush()
+	return eris.Wrap(table.Flush(), "print result")
 }
--- a/internal/bench/failover.go
+++ b/internal/bench/failover.go
@@ -255,7 +255,7 @@
 	time.Sleep(time.Duration(f.random.Int64N(int64(spread))))
 
 	injected := time.Now()
-	repair := breakMember(primary, kind)
+	repair := breakMember(primary, kind) //nolint:contextcheck // The stand-in goes on until it is closed.
 
 	var finished time.Time
 
--- a/internal/bench/failoverresult.go
+++ b/internal/bench/failoverresult.go
@@ -5,7 +5,7 @@
 	"io"
 	"math"
 	"slices"
-	"text/tabwriter"
+	"strings"
 	"time"
 )
 
@@ -130,17 +130,18 @@
 
 // Write prints the summaries as a table.
 func (r FailoverResult) Write(to io.Writer) error {
-	table := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "thresholds\tkind\tfaults\tgap min/median/max ms\tall proxies\tdetection\tfencing\tpromotion\trouting\tsuspicions\tfalse promotions")
+	var table strings.Builder
+
+	fmt.Fprintln(&table, "thresholds\tkind\tfaults\tgap min/median/max ms\tall proxies\tdetection\tfencing\tpromotion\trouting\tsuspicions\tfalse promotions")
 
 	for _, s := range r.Summaries {
-		fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", s.Thresholds, s.Kind, s.Count, s.Gap,
+		fmt.Fprintf(&table, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\n", s.Thresholds, s.Kind, s.Count, s.Gap,
 			s.GapEverywhere, s.Detection, s.Fencing, s.Promotion, s.Routing, s.Suspicions, s.Promotions)
 	}
 
-	fmt.Fprintf(table, "acknowledged writes %d, unknown %d, violations %+v\n", r.Writes, r.Unknown, r.Violations)
+	fmt.Fprintf(&table, "acknowledged writes %d, unknown %d, violations %+v\n", r.Writes, r.Unknown, r.Violations)
 
-	return table.Flush()
+	return writeTable(to, table.String())
 }
 
 // String returns minimum, median and maximum, rounded to whole milliseconds.
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -42,10 +42,12 @@
 }
 
 const (
-	// PoolName is the pool that callers connect to, GroupName its only group, and UserName a user without password.
-	PoolName  = "main"
+	// PoolName is the pool that callers connect to.
+	PoolName = "main"
+	// GroupName is the only group of the pool.
 	GroupName = "group1"
-	UserName  = "almond"
+	// UserName is a user without a password.
+	UserName = "almond"
 
 	defaultProxies = 2
 	// proxyPorts is the number of addresses of a proxy.
@@ -167,7 +169,7 @@
 		})
 	}
 
-	if system.Members, err = startMembers(options, announce); err != nil {
+	if system.Members, err = startMembers(options, announce); err != nil { //nolint:contextcheck // Closed with the system.
 		system.remove()
 
 		return nil, err
@@ -248,7 +250,7 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "find a free port")
 		}
-		defer listener.Close()
+		defer func() { _ = listener.Close() }()
 
 		addresses[i] = netip.MustParseAddrPort(listener.Addr().String())
 	}
--- a/internal/local/ready.go
+++ b/internal/local/ready.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return eris.Wrap(err, "connect")
 	}
-	defer conn.Close(ctx)
+	defer func() { _ = conn.Close(ctx) }()
 
 	_, err = conn.Exec(ctx, "SELECT 1")
 
