internal/coordinator, core/failover: apply changed thresholds to known servers

Cause: a detector kept the thresholds that were in force when its server was first seen, so that a change of timing reached a server only when it was restarted.

Change: each new view sets the thresholds of all detectors. Failures that were counted before still count.

Ruled out: new detectors for each change of timing; they would forget failures in the middle of a detection.

--- a/core/failover/detector.go
+++ b/core/failover/detector.go
@@ -70,6 +70,11 @@
 	return &Detector{thresholds: thresholds}
 }
 
+// SetThresholds replaces the limits. Failures that were counted before still count.
+func (d *Detector) SetThresholds(thresholds Thresholds) {
+	d.thresholds = thresholds
+}
+
 // Observe takes the outcome of a query and returns the state.
 func (d *Detector) Observe(query Query) State {
 	if query.Outcome == Answered {
--- a/core/failover/detector_test.go
+++ b/core/failover/detector_test.go
@@ -139,3 +139,19 @@
 
 	return count
 }
+
+// Guards against a change of the configuration that reaches only servers which are seen later.
+func TestDetectorTakesNewThresholds(t *testing.T) {
+	t.Parallel()
+
+	detector := failover.NewDetector(thresholds)
+	failed := failover.Query{Began: time.Now(), Took: time.Second, Fresh: true, Outcome: failover.Silent}
+	require.Equal(t, failover.Unsure, detector.Observe(failed))
+
+	changed := thresholds
+	changed.Failures, changed.Spacing = 2, 100*time.Millisecond
+	detector.SetThresholds(changed)
+
+	failed.Began = failed.Began.Add(changed.Spacing)
+	assert.Equal(t, failover.Dead, detector.Observe(failed))
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -201,17 +201,21 @@
 		}
 	}
 
+	thresholds := failover.Thresholds{
+		Failures: max(1, orDefault(next.timing.Failures, defaultFailures)),
+		Spacing:  next.timing.Monitor.Or(defaultMonitor),
+		Slow:     next.timing.Monitor.Or(defaultMonitor),
+	}
+
 	for name, server := range next.servers {
 		if _, found := c.members[name]; found {
+			c.detectors[name].SetThresholds(thresholds)
+
 			continue
 		}
 
 		c.members[name] = c.newMember(server)
-		c.detectors[name] = failover.NewDetector(failover.Thresholds{
-			Failures: max(1, orDefault(next.timing.Failures, defaultFailures)),
-			Spacing:  next.timing.Monitor.Or(defaultMonitor),
-			Slow:     next.timing.Monitor.Or(defaultMonitor),
-		})
+		c.detectors[name] = failover.NewDetector(thresholds)
 	}
 
 	next.members = make(map[string]*member, len(c.members))
