internal/controller: index the servers of a view by group, wake workers on changes only

Cause: every group's worker went through the servers of all groups four times a second, so that the processor time of an idle leader grew with the square of the groups.

Change: an index by group is built once for each view, and workers are woken when the view has changed; they set their own timers for everything else.

Conclusion: what remains grows with the number of groups, and is due to wake-ups and to groups without a primary.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -61,6 +61,7 @@
 	confirm *batch.Rounds[uint64]
 	leading atomic.Pointer[leadership]
 	updates updates
+	servers groupServers
 	peers   peers
 
 	cancel context.CancelFunc
--- a/internal/controller/coordinate.go
+++ b/internal/controller/coordinate.go
@@ -10,8 +10,8 @@
 // assignCoordinators names a coordinator for every group whose coordinator is gone or shutting down. A group keeps
 // its coordinator otherwise: a change costs the permits and observations that the old one holds.
 func (l *leadership) assignCoordinators(ctx context.Context) {
-	view := l.controller.view()
-	centres := serverCentres(view)
+	view, servers := l.controller.servers.latest(l.controller.view)
+	centres := serverCentres(servers)
 
 	for _, group := range view.Groups {
 		if present, found := view.Proxies[group.Coordinator]; found && !present.Draining {
@@ -58,15 +58,15 @@
 	return best
 }
 
-func serverCentres(view *registry.View) map[string]map[string]bool {
-	centres := make(map[string]map[string]bool)
+func serverCentres(servers map[string][]registry.Server) map[string]map[string]bool {
+	centres := make(map[string]map[string]bool, len(servers))
 
-	for _, server := range view.Servers {
-		if centres[server.Group] == nil {
-			centres[server.Group] = make(map[string]bool)
-		}
+	for group, list := range servers {
+		centres[group] = make(map[string]bool, len(list))
 
-		centres[server.Group][server.Centre] = true
+		for _, server := range list {
+			centres[group][server.Centre] = true
+		}
 	}
 
 	return centres
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -27,6 +27,8 @@
 	// sequences holds the latest announcement of each server, recorded in the log or not.
 	sequences map[string]stamp
 	workers   map[string]*worker
+	// woken is the view that the workers were last woken for. Only run uses it.
+	woken *registry.View
 }
 
 // lease is the last renewal of a proxy.
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -18,8 +18,8 @@
 func (w *worker) bootstrap(ctx context.Context, view *registry.View, group registry.Group) time.Duration {
 	var primaries []registry.Server
 
-	for _, server := range view.Servers {
-		if server.Group == group.Name && !server.Recovery && !server.Leaving {
+	for _, server := range w.servers {
+		if !server.Recovery && !server.Leaving {
 			primaries = append(primaries, server)
 		}
 	}
@@ -78,8 +78,8 @@
 
 	settled, added := true, false
 
-	for _, server := range view.Servers {
-		if server.Group != group.Name || server.Name == group.Primary || server.Leaving {
+	for _, server := range w.servers {
+		if server.Name == group.Primary || server.Leaving {
 			continue
 		}
 
@@ -118,8 +118,8 @@
 
 // dropLeaving takes leaving servers out of the quorums and then forgets them.
 func (w *worker) dropLeaving(ctx context.Context, view *registry.View, group registry.Group) bool {
-	for _, server := range view.Servers {
-		if server.Group != group.Name || !server.Leaving || server.Name == group.Primary {
+	for _, server := range w.servers {
+		if !server.Leaving || server.Name == group.Primary {
 			continue
 		}
 
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -31,11 +31,19 @@
 	suspected map[string]time.Time
 
 	attempt attempt
+	// servers are those of the group in the view of the present step. Only run and its steps use them.
+	servers []registry.Server
 }
 
-// wakeWorkers starts a worker for each new group and wakes those whose group or servers have changed.
+// wakeWorkers starts a worker for each new group and wakes all workers if the view has changed. Workers set their
+// own timers for everything else.
 func (l *leadership) wakeWorkers() {
 	view := l.controller.view()
+	if view == l.woken {
+		return
+	}
+
+	l.woken = view
 	l.controller.peers.keep(view.Proxies)
 
 	l.mutex.Lock()
@@ -108,8 +116,9 @@
 
 	for ctx.Err() == nil {
 		now := w.lead.controller.options.Timer.Now()
-		view := w.lead.controller.view()
-		present := printOf(view, w.group)
+		view, servers := w.lead.controller.servers.latest(w.lead.controller.view)
+		w.servers = servers[w.group]
+		present := printOf(view.Groups[w.group], w.servers)
 
 		suspected := w.isSuspected(view.Groups[w.group].Primary)
 		if !suspected && present.same(last) && now.Before(due) {
@@ -163,17 +172,15 @@
 	servers map[string]registry.Server
 }
 
-func printOf(view *registry.View, group string) fingerprint {
-	servers := make(map[string]registry.Server)
+func printOf(group registry.Group, list []registry.Server) fingerprint {
+	servers := make(map[string]registry.Server, len(list))
 
-	for name, server := range view.Servers {
-		if server.Group == group {
-			server.Sequence = 0
-			servers[name] = server
-		}
+	for _, server := range list {
+		server.Sequence = 0
+		servers[server.Name] = server
 	}
 
-	return fingerprint{group: view.Groups[group], servers: servers}
+	return fingerprint{group: group, servers: servers}
 }
 
 func (f fingerprint) same(other fingerprint) bool {
