--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/proto"
 
 	"almondgrade/core/registry"
 	"almondgrade/core/settings"
@@ -122,7 +123,9 @@
 	}
 
 	cell.ProxyHeap = (heapBytes() - leader) / float64(proxies)
-	cell.SettingsBytes = len(s.state.View().Settings)
+	view := s.state.View()
+	cell.SettingsBytes = len(view.Settings)
+	cell.FullBytes = proto.Size(control.Full(control.Picture{View: view, Settings: view.Settings}))
 
 	idle := s.measure(func() { sleep(ctx, options.Idle) })
 	cell.IdleCPU, cell.IdleBytes = idle.cpu/idle.seconds, idle.bytes/idle.seconds/float64(proxies)
--- a/internal/bench/controlresult.go
+++ b/internal/bench/controlresult.go
@@ -26,6 +26,8 @@
 	Groups  int `json:"groups"`
 	// SettingsBytes is the size of the settings text.
 	SettingsBytes int `json:"settings_bytes"`
+	// FullBytes is the size of the update that gives a proxy the whole view, which begins every stream.
+	FullBytes int `json:"full_update_bytes"`
 	// IdleCPU is processor time in milliseconds a second, IdleBytes is bytes a second of one proxy's connection.
 	IdleCPU   float64 `json:"idle_cpu_millis_per_second"`
 	IdleBytes float64 `json:"idle_bytes_per_second_per_proxy"`
@@ -70,6 +72,7 @@
 		{"cpu_millis_per_change", func(c ControlCell) float64 { return c.ChangeCPU }},
 		{"bytes_per_change_per_proxy", func(c ControlCell) float64 { return c.ChangeBytes }},
 		{"cpu_millis_per_announcement", func(c ControlCell) float64 { return c.AnnounceCPU }},
+		{"full_update_bytes", func(c ControlCell) float64 { return float64(c.FullBytes) }},
 		{"leader_heap_bytes", func(c ControlCell) float64 { return c.LeaderHeap }},
 		{"heap_bytes_per_proxy", func(c ControlCell) float64 { return c.ProxyHeap }},
 	}
