--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -15,7 +15,7 @@
 
 // bootstrap names the first primary of a group. It waits while no server, or more than one, says it is a primary:
 // choosing between two would be a promotion without a quorum.
-func (w *worker) bootstrap(ctx context.Context, view *registry.View, group registry.Group) time.Duration {
+func (w *worker) bootstrap(ctx context.Context, group registry.Group) time.Duration {
 	var primaries []registry.Server
 
 	for _, server := range w.servers {
@@ -92,7 +92,7 @@
 		}
 	}
 
-	if w.dropLeaving(ctx, view, group) || !settled {
+	if w.dropLeaving(ctx, group) || !settled {
 		return retryPeriod
 	}
 
@@ -117,7 +117,7 @@
 }
 
 // dropLeaving takes leaving servers out of the quorums and then forgets them.
-func (w *worker) dropLeaving(ctx context.Context, view *registry.View, group registry.Group) bool {
+func (w *worker) dropLeaving(ctx context.Context, group registry.Group) bool {
 	for _, server := range w.servers {
 		if !server.Leaving || server.Name == group.Primary {
 			continue
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -154,7 +154,7 @@
 
 	switch {
 	case group.Term == 0:
-		return w.bootstrap(ctx, view, group)
+		return w.bootstrap(ctx, group)
 	case group.Phase != registry.PhaseStable:
 		return w.advance(ctx, view, group)
 	case w.isSuspected(group.Primary) && w.confirmDead(ctx, group):
