--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -104,6 +104,7 @@
 	log      *memoryLog
 	state    *registry.State
 	control  *controller.Controller
+	metrics  metrics.Registry
 	announce string
 }
 
@@ -119,7 +120,7 @@
 	clock := timer.New()
 	t.Cleanup(clock.Close)
 
-	f := &fixture{t: t, state: registry.NewState()}
+	f := &fixture{t: t, state: registry.NewState(), metrics: metrics.NewRegistry()}
 	f.log = newMemoryLog(f.state)
 	f.control = controller.New(controller.Options{
 		Name: "c1", Log: f.log, State: f.state, First: first, Timer: clock,
@@ -127,7 +128,7 @@
 		Dial: func(address netip.AddrPort) (*grpc.ClientConn, error) {
 			return grpc.NewClient(address.String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
 		},
-		Logger: slog.New(slog.NewTextHandler(t.Output(), nil)), Metrics: metrics.NewRegistry(),
+		Logger: slog.New(slog.NewTextHandler(t.Output(), nil)), Metrics: f.metrics,
 	})
 	t.Cleanup(f.control.Close)
 
@@ -439,6 +440,30 @@
 	assert.Equal(t, registry.PhaseStable, f.group().Phase)
 }
 
+// Guards against a failover because the primary refuses observers for want of connections: it is alive, and a change of
+// primary would not make connections any less scarce.
+func TestFullPrimaryIsNotReplaced(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	members := f.members(3)
+	held, err := pgconn.Connect(context.Background(), fmt.Sprintf("postgres://test@%s/main?sslmode=disable", members[0].Addr()))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = held.Close(context.Background()) })
+	members[0].SetLimits(5, 1)
+	f.eventually("the suspicion is dismissed", func() error {
+		f.suspect("a")
+
+		if metrics.GetOrRegisterCounter("failover_suspicion_dismissed", f.metrics).Count() == 0 {
+			return fmt.Errorf("phase %s", f.group().Phase)
+		}
+
+		return nil
+	})
+	assert.Equal(t, position.Term(1), f.group().Term)
+	assert.Equal(t, registry.PhaseStable, f.group().Phase)
+}
+
 // Guards against a failover that stops with its leader, and against a new leader that uses positions which the old
 // one gathered.
 func TestNewLeaderFinishesTheFailover(t *testing.T) {
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -29,6 +29,8 @@
 	workers   map[string]*worker
 	// checks bounds the groups that are checked at once. A new leader checks all of them; failovers don't wait.
 	checks chan struct{}
+	// woken is the view that the workers were last woken for. Only run uses it.
+	woken *registry.View
 }
 
 // checkLimit is the number of groups that are checked at once.
--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -105,6 +105,8 @@
 
 	admin, err := c.admin(ctx, server)
 	if err != nil {
+		report.Reachable = backend.Full(err)
+
 		return report
 	}
 	defer admin.Close()
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -15,11 +15,11 @@
 
 // bootstrap names the first primary of a group. It waits while no server, or more than one, says it is a primary:
 // choosing between two would be a promotion without a quorum.
-func (w *worker) bootstrap(ctx context.Context, view *registry.View, group registry.Group) time.Duration {
+func (w *worker) bootstrap(ctx context.Context, group registry.Group) time.Duration {
 	var primaries []registry.Server
 
-	for _, server := range view.Servers {
-		if server.Group == group.Name && !server.Recovery && !server.Leaving {
+	for _, server := range w.servers {
+		if !server.Recovery && !server.Leaving {
 			primaries = append(primaries, server)
 		}
 	}
@@ -78,7 +78,7 @@
 
 	settled := w.reconcileReplicas(ctx, view, group, primary)
 
-	if w.dropLeaving(ctx, view, group) || w.dropDead(ctx, view, group) || !settled {
+	if w.dropLeaving(ctx, group) || w.dropDead(ctx, view, group) || !settled {
 		return retryPeriod
 	}
 
@@ -92,8 +92,8 @@
 ) bool {
 	settled, added := true, false
 
-	for _, server := range view.Servers {
-		if server.Group != group.Name || server.Name == group.Primary || server.Leaving {
+	for _, server := range w.servers {
+		if server.Name == group.Primary || server.Leaving {
 			continue
 		}
 
@@ -130,9 +130,9 @@
 }
 
 // dropLeaving takes leaving servers out of the quorums. One that no longer answers is forgotten.
-func (w *worker) dropLeaving(ctx context.Context, view *registry.View, group registry.Group) bool {
-	for _, server := range view.Servers {
-		if server.Group != group.Name || !server.Leaving || server.Name == group.Primary {
+func (w *worker) dropLeaving(ctx context.Context, group registry.Group) bool {
+	for _, server := range w.servers {
+		if !server.Leaving || server.Name == group.Primary {
 			continue
 		}
 
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -11,6 +11,7 @@
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
 	"almondgrade/internal/coordinator"
+	"almondgrade/io/backend"
 	"almondgrade/io/peer/peerpb"
 )
 
@@ -153,7 +154,7 @@
 	conn, err := options.Open(ctx, server,
 		coordinator.Application(options.Name, options.Instance, coordinator.KindProbe))
 	if err != nil {
-		return &peerpb.ProbeReply{Reason: err.Error()}, nil
+		return &peerpb.ProbeReply{Reason: err.Error(), Reachable: backend.Full(err)}, nil
 	}
 	defer conn.Close()
 
--- a/io/backend/admin.go
+++ b/io/backend/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"strconv"
@@ -91,6 +92,17 @@
 	return &Admin{conn: conn, login: login}, nil
 }
 
+// stateTooMany is the SQLSTATE with which a server refuses a connection because it has too many.
+const stateTooMany = "53300"
+
+// Full reports whether an error of OpenAdmin is the refusal of a server that has too many connections. Such a server
+// is alive.
+func Full(err error) bool {
+	var failure *pgconn.PgError
+
+	return errors.As(err, &failure) && failure.Code == stateTooMany
+}
+
 // Close ends the connection at once.
 func (a *Admin) Close() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
