io/backend: hold the permit of an abandoned connection until the server has ended it

The connections in doubt held every permit and every connection of the server, so that the request to end them could not be made, and their permits were given out again while the server still counted them. Change: the request uses the connection that the server keeps free for administration and needs no permit; it is repeated until it succeeds, for a minute at most. A permit returns only then. Ruled out: a longer wait for a permit; there may be none to come.

--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -97,7 +97,7 @@
 		Connect:     connectTimeout,
 		TLS:         p.tls,
 	}
-	pool = &serverPool{server: server.Name, identity: identity, inquirer: backend.NewInquirer(options, acquire)}
+	pool = &serverPool{server: server.Name, identity: identity, inquirer: backend.NewInquirer(options)}
 	options.Abandoned = pool.inquirer.Terminate
 	pool.Pool = backend.NewPool(options, acquire)
 	p.pools[key] = pool
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -18,6 +18,7 @@
 //	freeze, thaw      accept connections and answer nothing
 //	cut, heal         stall traffic with Peer (a prefix of application names) in Direction (in, out, both)
 //	lose              make the connections that are open now silent for good
+//	lose_answers      lose the answers on open connections from Peer for good; requests still arrive and run
 //	lag               set the replay lag to Delay
 //	receive_delay     set the receive delay to Delay
 //	lose_disk         restart without data
@@ -56,6 +57,7 @@
 		"cut":           func() error { m.Cut(fault.Peer, fault.Direction); return nil },
 		"heal":          func() error { m.Heal(); return nil },
 		"lose":          func() error { m.LoseConnections(); return nil },
+		"lose_answers":  func() error { m.LoseAnswers(fault.Peer); return nil },
 		"lag":           func() error { m.SetLag(delay); return nil },
 		"receive_delay": func() error { m.SetReceiveDelay(delay); return nil },
 		"leave":         func() error { m.Leave(true); return nil },
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -110,6 +110,24 @@
 	return len(f.links)
 }
 
+// muteOpen makes the answers on open connections from a peer vanish for good and returns their number.
+func (f *faults) muteOpen(peer string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	muted := 0
+
+	for l := range f.links {
+		if strings.HasPrefix(*l.peer.Load(), peer) {
+			l.muted.Store(true)
+
+			muted++
+		}
+	}
+
+	return muted
+}
+
 // closeAll ends the faults and closes the sockets of connections whose end their peers could not see.
 func (f *faults) closeAll() {
 	f.update(func() { f.frozen, f.partitions = false, nil })
@@ -130,6 +148,8 @@
 	faults *faults
 	peer   atomic.Pointer[string]
 	lost   atomic.Bool
+	// muted is true if what is written is lost while requests still arrive.
+	muted atomic.Bool
 	// onLoss is called when the connection is lost; it is guarded by the mutex of faults.
 	onLoss func()
 	closed chan struct{}
@@ -203,7 +223,7 @@
 		return 0, net.ErrClosed
 	}
 
-	if l.lost.Load() {
+	if l.lost.Load() || l.muted.Load() {
 		return len(p), nil
 	}
 
--- a/internal/standin/member.go
+++ b/internal/standin/member.go
@@ -230,6 +230,12 @@
 	m.faults.update(func() { m.faults.partitions = nil })
 }
 
+// LoseAnswers makes the answers on the open connections from a peer, given by the beginning of its application name,
+// vanish for good; requests still arrive and run. It returns the number of connections.
+func (m *Member) LoseAnswers(peer string) int {
+	return m.faults.muteOpen(peer)
+}
+
 // LoseConnections makes the connections that are open now silent for good: bytes vanish in both directions. It
 // returns the number of connections.
 func (m *Member) LoseConnections() int {
--- a/internal/system/history_test.go
+++ b/internal/system/history_test.go
@@ -449,6 +449,19 @@
 
 			assert.Equal(t, term, h.d.group("students").Term, "a silent connection is no reason for a failover")
 		}},
+		{"answers of the primary are lost", 8, shape{controls: 1, proxies: 2, members: 3}, func(h *history) {
+			term := h.d.group("students").Term
+
+			for range 8 {
+				primary := h.d.member(h.d.group("students").Primary)
+				h.fault("lose the answers of "+primary.name, func() {
+					primary.inject(map[string]any{"kind": "lose_answers", "peer": "ag/proxy"})
+				})
+				h.progress(10)
+			}
+
+			assert.Equal(t, term, h.d.group("students").Term, "a lost answer is no reason for a failover")
+		}},
 		{"two failovers in a row", 7, shape{controls: 3, proxies: 2, members: 3}, func(h *history) {
 			for range 2 {
 				old := h.d.group("students")
--- a/io/backend/activity.go
+++ b/io/backend/activity.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -9,24 +10,40 @@
 	"time"
 )
 
-// terminateTimeout bounds one request to end connections.
-const terminateTimeout = 3 * time.Second
+const (
+	// terminateTimeout bounds one request to end connections.
+	terminateTimeout = 3 * time.Second
+	// terminateLimit is the time after which a server that did not take the request has lost its connections, or has
+	// noticed by itself that they are dead.
+	terminateLimit = time.Minute
+	// terminatePause is the greatest pause between two requests. Several proxies may ask at once, and the server keeps
+	// one connection free for all of them.
+	terminatePause = time.Second
+)
 
-// Inquirer asks a server about connections that may no longer reach it, each time over a new connection. It is safe
-// for concurrent use.
+// Inquirer asks a server about connections that may no longer reach it. Each question goes over a new connection,
+// which needs no permit: the connections in doubt may hold all of them, and the reserve for administration is meant
+// for this. It is safe for concurrent use.
 type Inquirer struct {
 	options Options
-	acquire func(ctx context.Context, urgent bool) (Permit, error)
 
 	mu sync.Mutex
-	// abandoned are the application names of connections that the server is to end.
-	abandoned   []string
+	// abandoned are the connections that the server is to end.
+	abandoned   []abandoned
 	terminating bool
 }
 
-// NewInquirer returns an Inquirer. The function acquire waits for the permit to open one connection.
-func NewInquirer(options Options, acquire func(ctx context.Context, urgent bool) (Permit, error)) *Inquirer {
-	return &Inquirer{options: options, acquire: acquire}
+// abandoned is a connection that was closed while the server may still work for it. Its permit is held until the
+// server has ended it, because it counts there until then.
+type abandoned struct {
+	application string
+	permit      Permit
+	since       time.Time
+}
+
+// NewInquirer returns an Inquirer for the server of the options.
+func NewInquirer(options Options) *Inquirer {
+	return &Inquirer{options: options}
 }
 
 // monitored counts the reads of a connection, so that a wait which began long ago can be told from a new one.
@@ -75,11 +92,13 @@
 // once. The server may never learn of the end: something between has lost track of the connection, and an open
 // transaction would keep its locks. The application name tells the connection from a later one with the same process
 // id.
-func (i *Inquirer) Terminate(conn *Conn) {
+//
+// The permit of the connection is released when the server has ended it.
+func (i *Inquirer) Terminate(conn *Conn, permit Permit) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 
-	i.abandoned = append(i.abandoned, conn.application)
+	i.abandoned = append(i.abandoned, abandoned{application: conn.application, permit: permit, since: time.Now()})
 
 	if !i.terminating {
 		i.terminating = true
@@ -91,38 +110,68 @@
 func (i *Inquirer) terminateAll() {
 	for {
 		i.mu.Lock()
-		names := i.abandoned
+		batch := i.abandoned
 		i.abandoned = nil
-		i.terminating = len(names) > 0
+		i.terminating = len(batch) > 0
 		i.mu.Unlock()
 
-		if len(names) == 0 {
+		if len(batch) == 0 {
 			return
 		}
 
-		for at, name := range names {
-			names[at] = literal(name)
+		if err := i.end(batch); err == nil {
+			release(batch)
+
+			continue
 		}
 
-		ctx, cancel := context.WithTimeout(context.Background(), terminateTimeout)
-		// A server that can't be reached has lost its connections or will be replaced.
-		_ = i.ask(ctx, func(other *Conn, deadline time.Time) error {
-			return other.Exec(deadline, "SELECT count(pg_terminate_backend(pid)) FROM pg_stat_activity WHERE "+
-				"application_name IN ("+strings.Join(names, ", ")+")")
-		})
+		i.again(batch)
+		time.Sleep(time.Duration(rand.Int64N(int64(terminatePause))))
+	}
+}
 
-		cancel()
+// end makes the server end connections.
+func (i *Inquirer) end(batch []abandoned) error {
+	names := make([]string, len(batch))
+	for at, each := range batch {
+		names[at] = literal(each.application)
 	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), terminateTimeout)
+	defer cancel()
+
+	return i.ask(ctx, func(other *Conn, deadline time.Time) error {
+		return other.Exec(deadline, "SELECT count(pg_terminate_backend(pid)) FROM pg_stat_activity WHERE "+
+			"application_name IN ("+strings.Join(names, ", ")+")")
+	})
 }
 
-// ask runs a question over a new connection: an open one may have gone silent like the one that is in doubt.
-func (i *Inquirer) ask(ctx context.Context, question func(*Conn, time.Time) error) error {
-	permit, err := i.acquire(ctx, true)
-	if err != nil {
-		return err
+// again keeps what is to be tried again and releases the permits of what has lasted too long.
+func (i *Inquirer) again(batch []abandoned) {
+	now := time.Now()
+
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	for _, each := range batch {
+		if now.Sub(each.since) < terminateLimit {
+			i.abandoned = append(i.abandoned, each)
+		} else {
+			release([]abandoned{each})
+		}
+	}
+}
+
+func release(batch []abandoned) {
+	for _, each := range batch {
+		if each.permit != nil {
+			each.permit.Release()
+		}
 	}
-	defer permit.Release()
+}
 
+// ask runs a question over a new connection: an open one may have gone silent like the one that is in doubt.
+func (i *Inquirer) ask(ctx context.Context, question func(*Conn, time.Time) error) error {
 	other, err := Open(ctx, i.options)
 	if err != nil {
 		return err
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -45,9 +45,9 @@
 	Connect time.Duration
 	// TLS enables encryption if it is not nil.
 	TLS *tls.Config
-	// Abandoned is told of each connection that a Pool closes while the server may still work for it. It may be
-	// nil and must not block.
-	Abandoned func(*Conn)
+	// Abandoned is told of each connection that a Pool closes while the server may still work for it, and takes over
+	// its permit. It may be nil and must not block.
+	Abandoned func(*Conn, Permit)
 }
 
 // ServerError is an error that the server sent.
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -359,7 +359,12 @@
 }
 
 func (p *Pool) discard(conn *Conn) {
-	working := conn.Status != statusIdle
+	var kept Permit
+
+	working := conn.Status != statusIdle && p.options.Abandoned != nil
+	if working {
+		kept, conn.permit = conn.permit, nil
+	}
 
 	conn.Close()
 
@@ -367,8 +372,8 @@
 	p.open--
 	p.mu.Unlock()
 
-	if working && p.options.Abandoned != nil {
-		p.options.Abandoned(conn)
+	if working {
+		p.options.Abandoned(conn, kept)
 	}
 }
 
--- a/io/backend/pool_test.go
+++ b/io/backend/pool_test.go
@@ -522,3 +522,33 @@
 	require.EqualValues(t, 1, allowed.held.Load())
 	require.True(t, conns[2].Reusable())
 }
+
+// TestAbandonedConnectionKeepsItsPermit guards against a permit that is used again while the server still counts the
+// connection it was for, and against one that is never given back.
+func TestAbandonedConnectionKeepsItsPermit(t *testing.T) {
+	t.Parallel()
+
+	options := newServer(t).options()
+	inquirer := backend.NewInquirer(options)
+	allowed := &permits{limit: 1}
+
+	var heldThen atomic.Int64
+
+	options.Abandoned = func(conn *backend.Conn, permit backend.Permit) {
+		heldThen.Store(allowed.held.Load())
+		inquirer.Terminate(conn, permit)
+	}
+	pool := backend.NewPool(options, allowed.acquire)
+
+	ctx, cancel := within(t)
+	defer cancel()
+
+	conn, err := pool.Get(ctx, backend.Want{}, false)
+	require.NoError(t, err)
+
+	conn.Status = 0 // An answer is unread.
+	pool.Put(conn)
+	require.EqualValues(t, 1, heldThen.Load(), "the permit was not released with the connection")
+	require.Eventually(t, func() bool { return allowed.held.Load() == 0 }, patience, time.Millisecond,
+		"the permit returns once the server has ended the connection")
+}
