internal/coordination: answer control's probe before its call ends

An observer that was cut off from the primary waited for it as long as control waited for the observer, so that it counted as no observer; the one proxy that still reached the primary and control alone are no majority. Change: an observer gives up after 1 s, and control waits 1.5 s for it. Ruled out: counting a silent observer as a failure; the observer itself may be cut off from control.

--- a/internal/controller/peers.go
+++ b/internal/controller/peers.go
@@ -19,8 +19,9 @@
 const (
 	// probeTimeout bounds one observer's attempt to reach a backend server.
 	probeTimeout = time.Second
-	// probeAnswer bounds the whole call to an observer, so that a proxy which is cut off delays nothing.
-	probeAnswer = 1200 * time.Millisecond
+	// probeAnswer bounds the whole call to an observer, so that a proxy which is cut off delays nothing. It leaves an
+	// observer time to report that its own attempt has timed out.
+	probeAnswer = 1500 * time.Millisecond
 	// observers is the number of proxies that are asked besides control itself.
 	observers = 2
 )
--- a/internal/coordination/options.go
+++ b/internal/coordination/options.go
@@ -68,6 +68,8 @@
 	failingTime = 2 * time.Second
 	// refreshTime is the age of observations above which new ones are asked for.
 	refreshTime = 250 * time.Millisecond
+	// probeLimit bounds an attempt to reach a backend server on behalf of control.
+	probeLimit = time.Second
 	// suspectInterval is the least time between two reports of the same primary to control by requests.
 	suspectInterval = 2 * time.Second
 	// answerMargin is the part of a caller's deadline that is kept for the way back of the answer, as a divisor.
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -148,6 +148,10 @@
 		return &peerpb.ProbeReply{Reason: "address: " + err.Error()}, nil
 	}
 
+	// The answer must reach control before its call ends, or this proxy counts as no observer at all.
+	ctx, cancel := context.WithTimeout(ctx, probeLimit)
+	defer cancel()
+
 	options := s.owner.options
 	server := registry.Server{Name: request.GetServer(), Address: address}
 
