internal/proxy: watch the statements that record a named request

The transaction that records a request's name waited for its answer until the deadline and kept its locks on the server meanwhile. Change: the watchdog for silent connections begins before those statements.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -83,13 +83,17 @@
 		return &failure{err: startError(ctx), final: true}
 	}
 
+	// The statements that record a named request can meet a silent connection, too.
+	watched := s.watchSilence(held, r.batch == nil || r.batch.synced)
+
 	done, failed := x.beginOnce()
 	if done || failed != nil {
+		_ = watched.end(nil)
+
 		return failed
 	}
 
 	stop := s.guard(ctx, x.conn)
-	watched := s.watchSilence(held, r.batch == nil || r.batch.synced)
 	status, err := x.run()
 
 	if err == nil && x.wrapped {
