io/backend, core/failover: fence replicas only, and compare positions by term

The first primary came back while the second failover was fencing. Fencing wrote the new term into its settings before it noticed that the server was no replica; the platform then saw no newer term and never rewound it. Change: a primary is refused unchanged. A fenced server keeps carrying the term in which it was last attached, and the candidate is chosen by term, then position: a server that was last attached in an older term may hold a longer log that was discarded, and could have been promoted. Ruled out: rewinding on any announcement of a primary that is not the group's; the platform's rule is not ours to change.

--- a/core/failover/machine.go
+++ b/core/failover/machine.go
@@ -18,8 +18,9 @@
 
 // Facts are what was gathered about one attempt of a group's failover.
 type Facts struct {
-	// Fenced holds, for every member fenced in this attempt, the last position that it has flushed.
-	Fenced map[string]position.LSN
+	// Fenced holds, for every member fenced in this attempt, the last position that it has flushed, with the term in
+	// which it was attached.
+	Fenced map[string]position.Position
 	// Lost are the members whose identity has changed: what they had flushed is gone, so that they don't count.
 	Lost container.Set[string]
 	// Elapsed is the time since the present phase began for this leader.
@@ -81,7 +82,7 @@
 
 	if Fenced(group.Members, counted) && Fenced(group.Previous, counted) {
 		if candidate, found := candidate(group, facts, counted); found {
-			return RecordPromote{Candidate: candidate, Begin: facts.Fenced[candidate]}
+			return RecordPromote{Candidate: candidate, Begin: facts.Fenced[candidate].LSN}
 		}
 	}
 
@@ -104,7 +105,8 @@
 	return FenceMembers{Servers: missing}
 }
 
-// candidate picks the fenced member with the highest position; of equals, the target of a planned move, then the
+// candidate picks the fenced member with the highest position, by term first: a member that was last attached in an older
+// term may hold a longer log that was discarded. Of equals, the target of a planned move, then the
 // first by name. Every member that is attached holds a prefix of its term's log, so that positions compare.
 func candidate(group registry.Group, facts Facts, counted container.Set[string]) (string, bool) {
 	best, found := "", false
@@ -114,7 +116,7 @@
 			continue
 		}
 
-		better := !found || facts.Fenced[name] > facts.Fenced[best] ||
+		better := !found || facts.Fenced[best].Less(facts.Fenced[name]) ||
 			facts.Fenced[name] == facts.Fenced[best] && name == group.Target
 		if better {
 			best, found = name, true
--- a/core/failover/machine_test.go
+++ b/core/failover/machine_test.go
@@ -61,7 +61,7 @@
 			positions[name] = position.LSN(rapid.IntRange(low, 200).Draw(t, "position"))
 		}
 
-		facts := failover.Facts{Fenced: map[string]position.LSN{}}
+		facts := failover.Facts{Fenced: map[string]position.Position{}}
 
 		for _, name := range rapid.Permutation(members).Draw(t, "fencing order") {
 			action, decided := failover.Next(group, facts).(failover.RecordPromote)
@@ -75,7 +75,7 @@
 			}
 
 			if name != group.Primary {
-				facts.Fenced[name] = positions[name]
+				facts.Fenced[name] = position.Position{Term: group.Term, LSN: positions[name]}
 			}
 		}
 	})
@@ -99,14 +99,17 @@
 		want  failover.Action
 	}{
 		{"nothing fenced", fencing, failover.Facts{}, failover.FenceMembers{Servers: []string{"b", "c"}}},
-		{"one of two", fencing, failover.Facts{Fenced: map[string]position.LSN{"b": 5}},
+		{"one of two", fencing, failover.Facts{Fenced: map[string]position.Position{"b": {Term: 1, LSN: 5}}},
 			failover.FenceMembers{Servers: []string{"c"}}},
-		{"highest position", fencing, failover.Facts{Fenced: map[string]position.LSN{"b": 5, "c": 4}},
+		{"highest position", fencing, failover.Facts{Fenced: map[string]position.Position{"b": {Term: 1, LSN: 5}, "c": {Term: 1, LSN: 4}}},
 			failover.RecordPromote{Candidate: "b", Begin: 5}},
-		{"target of a planned move", fencing, failover.Facts{Fenced: map[string]position.LSN{"b": 5, "c": 5}},
+		{"longer log of an older term", fencing,
+			failover.Facts{Fenced: map[string]position.Position{"b": {Term: 1, LSN: 5}, "c": {Term: 0, LSN: 9}}},
+			failover.RecordPromote{Candidate: "b", Begin: 5}},
+		{"target of a planned move", fencing, failover.Facts{Fenced: map[string]position.Position{"b": {Term: 1, LSN: 5}, "c": {Term: 1, LSN: 5}}},
 			failover.RecordPromote{Candidate: "c", Begin: 5}},
 		{"lost data don't count", fencing,
-			failover.Facts{Fenced: map[string]position.LSN{"b": 5, "c": 9}, Lost: container.NewSet("c")}, nil},
+			failover.Facts{Fenced: map[string]position.Position{"b": {Term: 1, LSN: 5}, "c": {Term: 1, LSN: 9}}, Lost: container.NewSet("c")}, nil},
 		{"primary back early", fencing, failover.Facts{PrimaryAnswers: true, Elapsed: time.Second},
 			failover.FenceMembers{Servers: []string{"b", "c"}}},
 		{"primary back", fencing, failover.Facts{PrimaryAnswers: true, Elapsed: 2 * time.Second},
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -350,6 +350,33 @@
 	})
 }
 
+// Guards against a second failover that stalls because the first primary, which has just come back, was marked as fenced
+// in the new term before the platform had rewound it: the platform then took it for a member of that term.
+func TestSecondFailoverRightAfterTheFirst(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	members := f.members(3)
+	f.must(members[0], "CREATE TABLE marks (id integer); INSERT INTO marks VALUES (7)")
+	require.NoError(t, members[0].Stop())
+	f.suspect("a")
+
+	second := f.waitTerm(2).Primary
+	require.NoError(t, byName(members, second).Stop())
+	f.suspect(second)
+	f.eventually("fencing begins", func() error {
+		if g := f.group(); g.Phase != registry.PhaseFencing {
+			return fmt.Errorf("phase %s", g.Phase)
+		}
+
+		return nil
+	})
+	require.NoError(t, members[0].Start())
+
+	third := f.waitTerm(3).Primary
+	assert.Equal(t, "7", f.must(byName(members, third), "SELECT id FROM marks"))
+}
+
 // Guards against a promotion without a fence quorum: with one of two replicas out of reach a write that only that
 // one holds could be lost.
 func TestNoPromotionWithoutFenceQuorum(t *testing.T) {
--- a/internal/controller/failover.go
+++ b/internal/controller/failover.go
@@ -26,7 +26,7 @@
 	term   position.Term
 	phase  registry.Phase
 	began  time.Time
-	fenced map[string]position.LSN
+	fenced map[string]position.Position
 	// promoted is true once the candidate answered as primary of the next term.
 	promoted bool
 	// answers is true once observers found the old primary to serve again.
@@ -101,7 +101,7 @@
 
 	w.attempt = attempt{
 		number: group.Attempt, term: group.Term, phase: group.Phase,
-		began: w.lead.controller.options.Timer.Now(), fenced: make(map[string]position.LSN),
+		began: w.lead.controller.options.Timer.Now(), fenced: make(map[string]position.Position),
 	}
 }
 
@@ -136,7 +136,7 @@
 		}
 
 		work.Go(func() {
-			lsn, err := w.fenceServer(ctx, group, server)
+			at, err := w.fenceServer(ctx, server)
 			if err != nil {
 				w.lead.controller.options.Logger.Warn("fencing failed", "group", group.Name, "server", name, "error", err)
 
@@ -146,7 +146,7 @@
 			mutex.Lock()
 			defer mutex.Unlock()
 
-			w.attempt.fenced[name] = lsn
+			w.attempt.fenced[name] = at
 		})
 	}
 
@@ -164,17 +164,17 @@
 	work.Wait()
 }
 
-func (w *worker) fenceServer(ctx context.Context, group registry.Group, server registry.Server) (position.LSN, error) {
+func (w *worker) fenceServer(ctx context.Context, server registry.Server) (position.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
 	defer cancel()
 
 	admin, err := w.lead.controller.admin(ctx, server)
 	if err != nil {
-		return 0, err
+		return position.Position{}, err
 	}
 	defer admin.Close()
 
-	return admin.Fence(ctx, server.Name, group.Term) //nolint:wrapcheck // It names the server.
+	return admin.Fence(ctx, server.Name) //nolint:wrapcheck // It names the server.
 }
 
 func (w *worker) promote(ctx context.Context, view *registry.View, group registry.Group) {
--- a/internal/coordination/coordination_test.go
+++ b/internal/coordination/coordination_test.go
@@ -87,7 +87,7 @@
 
 	for _, index := range []int{1, 2} {
 		c.admin(index, func(ctx context.Context, admin *backend.Admin) error {
-			_, err := admin.Fence(ctx, memberName(index), 1)
+			_, err := admin.Fence(ctx, memberName(index))
 
 			return err
 		})
--- a/internal/standin/fault_test.go
+++ b/internal/standin/fault_test.go
@@ -223,7 +223,7 @@
 	end := observe(t, first).Insert
 	eventually(t, "receive", func() bool { return observe(t, behind).Received == end })
 
-	_, err := behind.Fence(ctx, "db2", 1)
+	_, err := behind.Fence(ctx, "db2")
 	require.NoError(t, err)
 	exec(t, conn, "INSERT INTO t VALUES (1)")
 	replicated(t, first, ahead)
@@ -322,7 +322,7 @@
 	old.Leave(true)
 	eventually(t, "leaving", func() bool { return system.last().Leaving })
 
-	begin, err := adminNext.Fence(ctx, "db1", 1)
+	begin, err := adminNext.Fence(ctx, "db1")
 	require.NoError(t, err)
 	require.NoError(t, adminNext.Promote(ctx, "db1", 2))
 	exec(t, conn, "INSERT INTO t VALUES (100)")
@@ -336,10 +336,10 @@
 
 	system.answer(standin.Reply{
 		Term: 2, Primary: "db1", PrimaryAddress: next.Addr().String(),
-		History: []standin.TermBegin{{Term: 1}, {Term: 2, LSN: begin}},
+		History: []standin.TermBegin{{Term: 1}, {Term: 2, LSN: begin.LSN}},
 	})
 	eventually(t, "rewind", func() bool { return old.Status().Running && !old.Status().Primary })
-	assert.Equal(t, begin.String(), old.Status().Written)
+	assert.Equal(t, begin.LSN.String(), old.Status().Written)
 	assert.Equal(t, status.Identity, old.Status().Identity)
 	assert.Equal(t, int64(1), number(t, connect(t, old, "app"), "SELECT sum(v) FROM t"))
 
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -195,16 +195,16 @@
 		return held == 2
 	})
 
-	fenced := make([]position.LSN, 3)
+	fenced := make([]position.Position, 3)
 
 	for i := 1; i <= 2; i++ {
 		var err error
-		fenced[i], err = admins[i].Fence(ctx, fmt.Sprintf("db%d", i), 1)
+		fenced[i], err = admins[i].Fence(ctx, fmt.Sprintf("db%d", i))
 		require.NoError(t, err)
 	}
 
 	exec(t, conn, "INSERT INTO t VALUES (2)")
-	assert.Equal(t, end, fenced[1])
+	assert.Equal(t, position.Position{Term: 1, LSN: end}, fenced[1])
 	assert.Equal(t, end, observe(t, admins[1]).Received)
 
 	require.NoError(t, admins[1].Promote(ctx, "db1", 2))
--- a/io/backend/admin.go
+++ b/io/backend/admin.go
@@ -139,17 +139,29 @@
 	return seen, err
 }
 
-// Fence makes a replica stop following its primary for good and returns the last position that it has flushed.
-// The returned position can't grow until Attach or Promote.
-func (a *Admin) Fence(ctx context.Context, name string, term position.Term) (position.LSN, error) {
+// Fence makes a replica stop following its primary for good and returns the last position that it has flushed, with
+// the term in which it was attached. The position can't grow until Attach or Promote. The server keeps carrying that
+// term: its log is a prefix of that term's log and tells nothing of a later one. A primary is refused unchanged, because
+// the platform recognises an old primary by the term that it carries.
+func (a *Admin) Fence(ctx context.Context, name string) (position.Position, error) {
+	seen, err := a.Observe(ctx)
+	if err != nil {
+		return position.Position{}, err
+	}
+
+	if !seen.Recovery {
+		return position.Position{}, eris.Errorf("server %s is not a replica and can't be fenced", name)
+	}
+
+	term := seen.Follow.Term
 	if err := a.setFollow(ctx, Follow{Term: term, Name: name, Fenced: true}); err != nil {
-		return 0, err
+		return position.Position{}, err
 	}
 
 	for {
 		rows, err := a.query(ctx, receiverQuery)
 		if err != nil {
-			return 0, err
+			return position.Position{}, err
 		}
 
 		if len(rows) == 1 && rows[0][0] == "0" {
@@ -157,20 +169,16 @@
 		}
 
 		if err := sleep(ctx, fencePollPeriod); err != nil {
-			return 0, err
+			return position.Position{}, err
 		}
 	}
 
-	seen, err := a.Observe(ctx)
+	seen, err = a.Observe(ctx)
 	if err != nil {
-		return 0, err
-	}
-
-	if !seen.Recovery {
-		return 0, eris.Errorf("server %s is not a replica and can't be fenced", name)
+		return position.Position{}, err
 	}
 
-	return seen.Received, nil
+	return position.Position{Term: term, LSN: seen.Received}, nil
 }
 
 // Promote makes a replica the primary of a term. It is idempotent. A server that an earlier planned move left
