--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -241,6 +241,31 @@
 	return f.group()
 }
 
+// waitFencing waits until a failover of the group is recorded.
+func (f *fixture) waitFencing() {
+	f.t.Helper()
+	f.eventually("fencing begins", func() error {
+		if f.group().Phase != registry.PhaseFencing {
+			return fmt.Errorf("phase %s", f.group().Phase)
+		}
+
+		return nil
+	})
+}
+
+// waitFenced waits until a replica says that it is fenced.
+func (f *fixture) waitFenced(replica *standin.Member) {
+	f.t.Helper()
+	f.eventually("the reachable replica is fenced", func() error {
+		seen, err := f.observe(replica)
+		if err == nil && !seen.Follow.Fenced {
+			err = fmt.Errorf("follows %+v", seen.Follow)
+		}
+
+		return err
+	})
+}
+
 // execute runs a statement and returns the first value of its last row.
 func (f *fixture) execute(member *standin.Member, sql string) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -364,13 +389,7 @@
 	second := f.waitTerm(2).Primary
 	require.NoError(t, byName(members, second).Stop())
 	f.suspect(second)
-	f.eventually("fencing begins", func() error {
-		if g := f.group(); g.Phase != registry.PhaseFencing {
-			return fmt.Errorf("phase %s", g.Phase)
-		}
-
-		return nil
-	})
+	f.waitFencing()
 	require.NoError(t, members[0].Start())
 
 	third := f.waitTerm(3).Primary
@@ -387,21 +406,8 @@
 	require.NoError(t, members[2].Stop())
 	require.NoError(t, members[0].Stop())
 	f.suspect("a")
-	f.eventually("fencing begins", func() error {
-		if f.group().Phase != registry.PhaseFencing {
-			return fmt.Errorf("phase %s", f.group().Phase)
-		}
-
-		return nil
-	})
-	f.eventually("the reachable replica is fenced", func() error {
-		seen, err := f.observe(members[1])
-		if err == nil && !seen.Follow.Fenced {
-			err = fmt.Errorf("follows %+v", seen.Follow)
-		}
-
-		return err
-	})
+	f.waitFencing()
+	f.waitFenced(members[1])
 	assert.Equal(t, registry.PhaseFencing, f.group().Phase)
 	assert.Equal(t, position.Term(1), f.group().Term)
 
@@ -419,14 +425,7 @@
 	require.NoError(t, members[2].Stop())
 	require.NoError(t, members[0].Stop())
 	f.suspect("a")
-	f.eventually("the reachable replica is fenced", func() error {
-		seen, err := f.observe(members[1])
-		if err == nil && !seen.Follow.Fenced {
-			err = fmt.Errorf("follows %+v", seen.Follow)
-		}
-
-		return err
-	})
+	f.waitFenced(members[1])
 	require.NoError(t, members[0].Start())
 	f.eventually("the failover is abandoned", func() error {
 		if g := f.group(); g.Phase != registry.PhaseStable {
@@ -501,13 +500,7 @@
 	require.NoError(t, members[2].Stop())
 	require.NoError(t, members[0].Stop())
 	f.suspect("a")
-	f.eventually("fencing begins", func() error {
-		if f.group().Phase != registry.PhaseFencing {
-			return fmt.Errorf("phase %s", f.group().Phase)
-		}
-
-		return nil
-	})
+	f.waitFencing()
 	f.log.lead(false)
 	require.NoError(t, members[2].Start())
 	f.log.lead(true)
