core/timer: add Sleep in place of three copies

io/backend, io/control and internal/controller each had the same wait that ends with a context. The copy of io/backend returned the context's error, the others its cause; the cause is the same where none was given. The wait of internal/proxy stays, because it turns the end into a result code.

--- /dev/null
+++ b/core/timer/sleep.go
@@ -0,0 +1,19 @@
+package timer
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for a period and returns nil, or returns the cause of the context's end if that comes first.
+func Sleep(ctx context.Context, period time.Duration) error {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -10,6 +10,7 @@
 
 	"almondgrade/core/registry"
 	"almondgrade/core/result"
+	"almondgrade/core/timer"
 )
 
 // leaseMargin is added to the duration of a lease before the leader counts it as expired. The proxy counts from
@@ -77,7 +78,7 @@
 			return err
 		}
 
-		if err := pause(ctx, leadTick); err != nil {
+		if err := timer.Sleep(ctx, leadTick); err != nil {
 			return err
 		}
 	}
@@ -194,15 +195,3 @@
 
 	return true
 }
-
-func pause(ctx context.Context, period time.Duration) error {
-	wait := time.NewTimer(period)
-	defer wait.Stop()
-
-	select {
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	case <-wait.C:
-		return nil
-	}
-}
--- a/internal/controller/move.go
+++ b/internal/controller/move.go
@@ -8,6 +8,7 @@
 
 	"almondgrade/core/position"
 	"almondgrade/core/registry"
+	"almondgrade/core/timer"
 	"almondgrade/io/backend"
 )
 
@@ -49,7 +50,7 @@
 			return target, nil
 		}
 
-		if err := pause(ctx, 10*time.Millisecond); err != nil {
+		if err := timer.Sleep(ctx, 10*time.Millisecond); err != nil {
 			return "", eris.Wrapf(err, "no replica reached %s", seen.Insert)
 		}
 	}
--- a/internal/controller/worker.go
+++ b/internal/controller/worker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"almondgrade/core/registry"
+	"almondgrade/core/timer"
 )
 
 const (
@@ -151,7 +152,7 @@
 		last = present
 
 		if period < sweepPeriod {
-			_ = pause(ctx, min(period, busyPeriod))
+			_ = timer.Sleep(ctx, min(period, busyPeriod))
 		}
 	}
 }
--- a/io/backend/admin.go
+++ b/io/backend/admin.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"almondgrade/core/position"
+	"almondgrade/core/timer"
 )
 
 // Login is the user and password for backend servers.
@@ -168,7 +169,7 @@
 			break
 		}
 
-		if err := sleep(ctx, fencePollPeriod); err != nil {
+		if err := timer.Sleep(ctx, fencePollPeriod); err != nil {
 			return position.Position{}, err
 		}
 	}
@@ -376,15 +377,3 @@
 func literal(value string) string {
 	return "'" + strings.ReplaceAll(value, "'", "''") + "'"
 }
-
-func sleep(ctx context.Context, period time.Duration) error {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/io/control/caller.go
+++ b/io/control/caller.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/status"
 
 	"almondgrade/core/result"
+	"almondgrade/core/timer"
 	"almondgrade/io/control/controlpb"
 )
 
@@ -107,7 +108,7 @@
 			c.learn(err)
 		}
 
-		if err := pause(ctx, retryPause); err != nil {
+		if err := timer.Sleep(ctx, retryPause); err != nil {
 			return none, result.New(result.NoQuorum, "no control process took the request (%v): %w", err, last)
 		}
 	}
@@ -171,15 +172,3 @@
 		delete(c.connections, member)
 	}
 }
-
-func pause(ctx context.Context, period time.Duration) error {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-
-	select {
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	case <-timer.C:
-		return nil
-	}
-}
--- a/io/control/watch.go
+++ b/io/control/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"almondgrade/core/timer"
 	"almondgrade/io/control/controlpb"
 )
 
@@ -32,7 +33,7 @@
 			}
 		}
 
-		if pause(ctx, retryPause) != nil {
+		if timer.Sleep(ctx, retryPause) != nil {
 			return
 		}
 	}
