--- a/cmd/almondgrade/main.go
+++ b/cmd/almondgrade/main.go
@@ -64,7 +64,7 @@
 		"result code, 4 no answer and the outcome is unknown, 5 a process or file operation failed."
 
 	for _, add := range []func(*flags.Parser, console) error{
-		addCheck, addApply, addStatus, addDrain, addRepair, addProxy, addControl,
+		addCheck, addApply, addStatus, addDrain, addRepair, addProxy, addControl, addNode,
 	} {
 		if err := add(parser, console{out: stdout}); err != nil {
 			panic(err) // A subcommand's options don't parse, which no command line can change.
--- /dev/null
+++ b/cmd/almondgrade/node.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rotisserie/eris"
+
+	"almondgrade/core/settings"
+	"almondgrade/internal/logging"
+	"almondgrade/platform"
+)
+
+// nodeCommand runs a process on the users' platform.
+type nodeCommand struct {
+	Args struct {
+		Role string `positional-arg-name:"ROLE" required:"yes" choice:"proxy" choice:"control" description:"proxy or control"`
+	} `positional-args:"yes"`
+	Settings string `long:"settings" description:"Settings file in the platform's form; by default the one that ALMONDGRADE_NODE_FILE names" value-name:"FILE"`
+}
+
+func addNode(parser *flags.Parser, _ console) error {
+	return addCommand(parser, "node", "Run a process on the users' platform",
+		"Runs a proxy or a control process with the settings that the platform provides, until SIGTERM or SIGINT.\n\n"+
+			"Exit codes: 0 shut down, 1 faults in settings, 2 wrong command line, 5 failed.\n\n"+
+			"Example:\n"+
+			"almondgrade node proxy --settings /etc/almondgrade/boot.conf",
+		&nodeCommand{})
+}
+
+// Execute implements flags.Commander.
+func (c *nodeCommand) Execute([]string) error {
+	path := c.Settings
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+
+	run := platform.RunProxy
+
+	switch c.Args.Role {
+	case "proxy":
+	case "control":
+		run = platform.RunControl
+	default:
+		return &flags.Error{Type: flags.ErrInvalidChoice, Message: "the role is proxy or control, not " + c.Args.Role}
+	}
+
+	logger, _ := logging.New(settings.Log{Level: "info", Format: "json"}, os.Stdout)
+
+	// The platform announces changed settings by SIGHUP, which ends a process that does not take it. The settings that
+	// may change are read again when they are needed.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+
+	go logReloads(ctx, reloads, logger)
+
+	if err := run(ctx, path, logger); err != nil {
+		logger.Error("process failed", "error", err)
+
+		return eris.Wrap(err, c.Args.Role)
+	}
+
+	return nil
+}
+
+func logReloads(ctx context.Context, reloads <-chan os.Signal, logger *slog.Logger) {
+	for {
+		select {
+		case <-reloads:
+			logger.Info("settings file has changed")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/deployment/state.go
@@ -0,0 +1,301 @@
+package deployment
+
+import (
+	"bytes"
+	"maps"
+	"sync/atomic"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"almondgrade/core/result"
+)
+
+// Phase is the progress of a takeover.
+type Phase uint8
+
+// The phases.
+const (
+	// Stable means that the primary serves.
+	Stable Phase = iota
+	// Fencing means that proxies stop using the primary.
+	Fencing
+	// Promoting means that the order for a candidate may have been given.
+	Promoting
+)
+
+// String returns the word that messages use.
+func (p Phase) String() string {
+	switch p {
+	case Stable:
+		return "stable"
+	case Fencing:
+		return "fencing"
+	case Promoting:
+		return "promoting"
+	}
+
+	return "unknown"
+}
+
+// Group is the state of a group.
+type Group struct {
+	Name string `cbor:"1,keyasint"`
+	// Primary is the ID of the present primary, or of the last one during a takeover.
+	Primary string `cbor:"2,keyasint"`
+	Phase   Phase  `cbor:"3,keyasint"`
+	// Candidate is the server to be promoted.
+	Candidate string `cbor:"4,keyasint,omitempty"`
+	// Token is the fencing token of the last order.
+	Token uint64 `cbor:"5,keyasint,omitempty"`
+	// Epoch is the log index of the last change of primary or phase.
+	Epoch uint64 `cbor:"6,keyasint"`
+	// Planned is true during the takeover from a primary that leaves.
+	Planned bool `cbor:"7,keyasint,omitempty"`
+}
+
+// View is a state at one index of the log. It is immutable.
+type View struct {
+	Index         uint64            `cbor:"1,keyasint"`
+	Configuration Configuration     `cbor:"2,keyasint"`
+	Groups        map[string]Group  `cbor:"3,keyasint"`
+	Servers       map[string]Server `cbor:"4,keyasint"`
+}
+
+// State is the state machine. Apply, Snapshot and Restore must not run at the same time; View may be called by any
+// goroutine.
+type State struct {
+	view atomic.Pointer[View]
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	state := &State{}
+	state.view.Store(&View{Groups: map[string]Group{}, Servers: map[string]Server{}})
+
+	return state
+}
+
+// View returns the present state.
+func (s *State) View() *View {
+	return s.view.Load()
+}
+
+// Apply executes a command and returns its encoded Answer.
+func (s *State) Apply(index uint64, command []byte) []byte {
+	var (
+		decoded Command
+		answer  Answer
+	)
+
+	next := *s.view.Load()
+	next.Index = index
+
+	if err := cbor.Unmarshal(command, &decoded); err != nil {
+		answer = refuse(result.Protocol, "log entry %d can't be read: %v", index, err)
+	} else {
+		answer = next.run(index, decoded)
+	}
+
+	s.view.Store(&next)
+
+	encoded, err := cbor.Marshal(answer)
+	if err != nil {
+		panic(err) // An Answer holds numbers and text, which can always be encoded.
+	}
+
+	return encoded
+}
+
+// Snapshot returns the whole state.
+func (s *State) Snapshot() ([]byte, error) {
+	encoded, err := cbor.Marshal(s.view.Load())
+
+	return encoded, eris.Wrap(err, "encode snapshot")
+}
+
+// Restore replaces the whole state.
+func (s *State) Restore(snapshot []byte) error {
+	next := &View{}
+	if err := cbor.Unmarshal(snapshot, next); err != nil {
+		return eris.Wrap(err, "decode snapshot")
+	}
+
+	if next.Groups == nil {
+		next.Groups = map[string]Group{}
+	}
+
+	if next.Servers == nil {
+		next.Servers = map[string]Server{}
+	}
+
+	s.view.Store(next)
+
+	return nil
+}
+
+func (v *View) run(index uint64, command Command) Answer {
+	switch {
+	case command.Configure != nil:
+		return v.configure(*command.Configure)
+	case command.Announce != nil:
+		return v.announce(*command.Announce)
+	case command.Forget != nil:
+		return v.forget(*command.Forget)
+	default:
+		return v.runGroup(index, command)
+	}
+}
+
+func (v *View) configure(next Configuration) Answer {
+	if err := next.Check(); err != nil {
+		return refuse(result.ChangeInvalid, "%v", err)
+	}
+
+	if next.Number > v.Configuration.Number {
+		v.Configuration = next
+	} else if next.Number == v.Configuration.Number && !bytes.Equal(next.Document, v.Configuration.Document) {
+		return Answer{Number: v.Configuration.Number, Reason: "the number holds other content, which stays in force"}
+	}
+
+	return Answer{Number: v.Configuration.Number}
+}
+
+func (v *View) announce(server Server) Answer {
+	if server.ID == "" || server.Group == "" || !server.Address.IsValid() {
+		return refuse(result.Protocol, "the announcement of server %q lacks its name, group or address", server.ID)
+	}
+
+	present, known := v.Servers[server.ID]
+	if known && !server.Newer(present) {
+		return refuse(result.OutdatedEpoch, "the announcement of server %q is older than the recorded one", server.ID)
+	}
+
+	// A server that leaves does not stay after all; a late announcement from before must not bring it back.
+	if known && present.Started == server.Started {
+		server.Leaving = server.Leaving || present.Leaving
+	}
+
+	v.Servers = maps.Clone(v.Servers)
+	v.Servers[server.ID] = server
+
+	if _, exists := v.Groups[server.Group]; !exists {
+		v.Groups = maps.Clone(v.Groups)
+		v.Groups[server.Group] = Group{Name: server.Group}
+	}
+
+	return Answer{}
+}
+
+func (v *View) forget(f Forget) Answer {
+	present, known := v.Servers[f.ID]
+	if !known {
+		return Answer{}
+	}
+
+	if present.Started != f.Started || present.Sequence > f.Sequence {
+		return refuse(result.OutdatedEpoch, "server %q has announced itself again", f.ID)
+	}
+
+	v.Servers = maps.Clone(v.Servers)
+	delete(v.Servers, f.ID)
+
+	return Answer{}
+}
+
+func (v *View) runGroup(index uint64, command Command) Answer {
+	switch {
+	case command.Adopt != nil:
+		return v.inGroup(index, command.Adopt.Group, func(g *Group) Answer { return v.adopt(g, *command.Adopt) })
+	case command.Fence != nil:
+		return v.inGroup(index, command.Fence.Group, func(g *Group) Answer { return g.fence(*command.Fence) })
+	case command.Abandon != nil:
+		return v.inGroup(index, command.Abandon.Group, func(g *Group) Answer { return g.abandon(*command.Abandon) })
+	case command.Promote != nil:
+		return v.inGroup(index, command.Promote.Group, func(g *Group) Answer { return v.promote(index, g, *command.Promote) })
+	case command.Finish != nil:
+		return v.inGroup(index, command.Finish.Group, func(g *Group) Answer { return g.finish(*command.Finish) })
+	default:
+		return refuse(result.Protocol, "log entry %d holds no known command", index)
+	}
+}
+
+// inGroup runs a change on a copy of a group, so that former views stay as they are.
+func (v *View) inGroup(index uint64, name string, run func(*Group) Answer) Answer {
+	group, known := v.Groups[name]
+	if !known {
+		return refuse(result.NotFound, "group %q is not known", name)
+	}
+
+	answer := run(&group)
+	if answer.Code == result.OK {
+		group.Epoch = index
+		v.Groups = maps.Clone(v.Groups)
+		v.Groups[name] = group
+	}
+
+	return answer
+}
+
+func (v *View) adopt(g *Group, a Adopt) Answer {
+	if g.Phase != Stable || g.Primary != a.Former {
+		return refuse(result.OutdatedEpoch, "group %s has primary %q in phase %s", g.Name, g.Primary, g.Phase)
+	}
+
+	if server, known := v.Servers[a.Primary]; !known || server.Group != g.Name {
+		return refuse(result.NotFound, "server %q of group %s is not known", a.Primary, g.Name)
+	}
+
+	g.Primary = a.Primary
+
+	return Answer{}
+}
+
+func (g *Group) fence(f Fence) Answer {
+	if g.Phase != Stable || g.Primary != f.Primary {
+		return refuse(result.OutdatedEpoch, "group %s has primary %q in phase %s", g.Name, g.Primary, g.Phase)
+	}
+
+	g.Phase, g.Planned = Fencing, f.Planned
+
+	return Answer{}
+}
+
+func (g *Group) abandon(a Abandon) Answer {
+	if g.Phase != Fencing || g.Epoch != a.Epoch {
+		return refuse(result.OutdatedEpoch, "group %s is in phase %s since %d", g.Name, g.Phase, g.Epoch)
+	}
+
+	g.Phase, g.Planned = Stable, false
+
+	return Answer{}
+}
+
+// promote records a candidate. A takeover whose order failed may name another one.
+func (v *View) promote(index uint64, g *Group, p Promote) Answer {
+	if g.Phase == Stable || g.Epoch != p.Epoch {
+		return refuse(result.OutdatedEpoch, "group %s is in phase %s since %d", g.Name, g.Phase, g.Epoch)
+	}
+
+	if server, known := v.Servers[p.Candidate]; !known || server.Group != g.Name {
+		return refuse(result.NotFound, "server %q of group %s is not known", p.Candidate, g.Name)
+	}
+
+	g.Phase, g.Candidate, g.Token = Promoting, p.Candidate, index
+
+	return Answer{Number: index}
+}
+
+func (g *Group) finish(f Finish) Answer {
+	if g.Phase != Promoting || g.Token != f.Token {
+		return refuse(result.OutdatedEpoch, "group %s is in phase %s with token %d", g.Name, g.Phase, g.Token)
+	}
+
+	g.Phase, g.Primary, g.Candidate, g.Planned = Stable, f.Primary, "", false
+
+	return Answer{}
+}
+
+func refuse(code result.Code, format string, args ...any) Answer {
+	return Answer{Code: code, Reason: result.New(code, format, args...).Reason}
+}
--- /dev/null
+++ b/core/freshness/track.go
@@ -0,0 +1,91 @@
+package freshness
+
+import (
+	"time"
+
+	"almondgrade/core/position"
+)
+
+const (
+	// spacing is the least time between two points. Closer ones would hardly lower a floor.
+	spacing = 25 * time.Millisecond
+	// capacity is the number of points; with spacing it covers more than the greatest age in use, 2.5 s.
+	capacity = 160
+)
+
+// point says that the log at a position covers every commit that was acknowledged before a time.
+type point struct {
+	at       time.Time
+	position position.Position
+}
+
+// Track holds the recent positions of a primary. It is not safe for concurrent use.
+type Track struct {
+	points [capacity]point
+	next   int
+	count  int
+	last   point
+}
+
+// New returns an empty track.
+func New() *Track {
+	return &Track{}
+}
+
+// Observe notes that a position covers every commit that was acknowledged before a time. The time must not be later
+// than the moment at which the request that returned the position was sent.
+func (t *Track) Observe(at time.Time, seen position.Position) {
+	if seen == (position.Position{}) {
+		return
+	}
+
+	newest := t.count > 0 && at.Sub(t.points[(t.next+capacity-1)%capacity].at) < spacing
+	if !newest {
+		t.points[t.next] = point{at, seen}
+		t.next = (t.next + 1) % capacity
+		t.count = min(t.count+1, capacity)
+	}
+
+	if t.last.at.Before(at) {
+		t.last = point{at, seen}
+	}
+}
+
+// Floor returns the lowest known position that covers every commit acknowledged longer than maxAge before now.
+func (t *Track) Floor(now time.Time, maxAge time.Duration) (floor position.Position, known bool) {
+	since := now.Add(-maxAge)
+
+	consider := func(p point) {
+		if !p.at.Before(since) && (!known || p.position.Less(floor)) {
+			floor, known = p.position, true
+		}
+	}
+
+	for i := range t.count {
+		consider(t.points[i])
+	}
+
+	if !t.last.at.IsZero() {
+		consider(t.last)
+	}
+
+	return floor, known
+}
+
+// Latest returns the last observation.
+func (t *Track) Latest() (seen position.Position, at time.Time, known bool) {
+	return t.last.position, t.last.at, !t.last.at.IsZero()
+}
+
+// Behind returns how long ago the primary is known to have passed a position. It is zero if it isn't known to have.
+func (t *Track) Behind(now time.Time, held position.Position) time.Duration {
+	var behind time.Duration
+
+	for i := range t.count {
+		if p := t.points[i]; held.Less(p.position) {
+			behind = max(behind, now.Sub(p.at))
+		}
+	}
+
+	return behind
+}
--- /dev/null
+++ b/core/lease/table.go
@@ -0,0 +1,89 @@
+package lease
+
+import (
+	"slices"
+	"time"
+)
+
+// drift is the part of a duration by which the clocks of grantor and holder may differ, as a divisor.
+const drift = 50
+
+// Holder is one life of a proxy.
+type Holder struct {
+	Name     string
+	Instance uint64
+}
+
+type grant struct {
+	instance uint64
+	until    time.Time
+	version  uint64
+}
+
+// Table holds the leases of one leadership. It is not safe for concurrent use.
+type Table struct {
+	duration time.Duration
+	// inherited is the time until which leases of an earlier leader may last.
+	inherited time.Time
+	grants    map[string]grant
+}
+
+// New returns the table of a leadership that began at a time.
+func New(began time.Time, duration time.Duration) *Table {
+	duration += duration / drift
+
+	return &Table{duration: duration, inherited: began.Add(duration), grants: make(map[string]grant)}
+}
+
+// Grant gives or renews a lease. Version is the view that the holder has applied. A new life of a proxy ends the lease
+// of the one before, whose process is gone.
+func (t *Table) Grant(now time.Time, to Holder, version uint64) {
+	present := t.grants[to.Name]
+	if present.instance == to.Instance {
+		version = max(version, present.version)
+	}
+
+	t.grants[to.Name] = grant{instance: to.Instance, until: now.Add(t.duration), version: version}
+}
+
+// Release ends the lease of a holder that stops.
+func (t *Table) Release(holder Holder) {
+	if t.grants[holder.Name].instance == holder.Instance {
+		delete(t.grants, holder.Name)
+	}
+}
+
+// Pending returns the names of the proxies that may still act on a view before the given version. The empty name
+// stands for proxies that hold a lease of an earlier leader.
+func (t *Table) Pending(now time.Time, version uint64) []string {
+	var pending []string
+
+	if now.Before(t.inherited) {
+		pending = append(pending, "")
+	}
+
+	for name, given := range t.grants {
+		if given.version < version && now.Before(given.until) {
+			pending = append(pending, name)
+		}
+	}
+
+	slices.Sort(pending)
+
+	return pending
+}
+
+// Holders returns the number of leases that have not run out.
+func (t *Table) Holders(now time.Time) int {
+	count := 0
+
+	for name, given := range t.grants {
+		if now.Before(given.until) {
+			count++
+		} else if now.Sub(given.until) > t.duration {
+			delete(t.grants, name)
+		}
+	}
+
+	return count
+}
--- /dev/null
+++ b/core/takeover/takeover_test.go
@@ -0,0 +1,116 @@
+package takeover_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"almondgrade/core/failover"
+	"almondgrade/core/position"
+	"almondgrade/core/takeover"
+)
+
+// Guards against a promotion because the leader is cut off or a cut is short, and against a primary that stays though
+// nobody reaches it.
+func TestJudge(t *testing.T) {
+	t.Parallel()
+
+	reached := takeover.Sight{Reached: true}
+	failing := takeover.Sight{Failing: 400 * time.Millisecond}
+	lost := takeover.Sight{Failing: 2 * time.Second}
+	idle := takeover.Sight{}
+
+	for _, test := range []struct {
+		name     string
+		evidence takeover.Evidence
+		want     takeover.Verdict
+	}{
+		{"healthy", takeover.Evidence{Sights: []takeover.Sight{reached, idle}}, takeover.Keep},
+		{"leaving", takeover.Evidence{Leaving: true}, takeover.Replace},
+		{"dead", takeover.Evidence{Probes: failover.Dead, Sights: []takeover.Sight{failing, idle}}, takeover.Replace},
+		{"dead without proxies", takeover.Evidence{Probes: failover.Dead}, takeover.Replace},
+		{"leader cut off", takeover.Evidence{Probes: failover.Dead, Sights: []takeover.Sight{reached, reached, failing}}, takeover.Keep},
+		{"short cut of proxies", takeover.Evidence{Sights: []takeover.Sight{failing, failing, reached}}, takeover.Keep},
+		{"one proxy cut off", takeover.Evidence{Sights: []takeover.Sight{lost, idle, idle}}, takeover.Keep},
+		{"most proxies cut off", takeover.Evidence{Sights: []takeover.Sight{lost, lost, reached}}, takeover.Replace},
+		{"unsure", takeover.Evidence{Probes: failover.Unsure, Sights: []takeover.Sight{failing}}, takeover.Keep},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			assert.Equal(t, test.want, takeover.Judge(test.evidence))
+		})
+	}
+}
+
+// Guards against the loss of an acknowledged commit: the naive version places each commit on the primary and on as
+// many replicas as are waited for, and checks that the chosen server holds it.
+func TestChooseKeepsAcknowledgedCommits(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.IntRange(1, 4).Draw(t, "replicas")
+		sync := rapid.IntRange(1, members).Draw(t, "sync")
+		replicas := make([]takeover.Candidate, members)
+
+		for i := range replicas {
+			replicas[i] = takeover.Candidate{
+				ID: fmt.Sprint(i), Leaving: rapid.Bool().Draw(t, "leaving"),
+				Received: position.Position{Term: 1, LSN: position.LSN(rapid.IntRange(0, 5).Draw(t, "received"))},
+			}
+		}
+
+		// A commit is acknowledged once enough replicas have received it.
+		acknowledged := position.LSN(0)
+
+		for lsn := position.LSN(1); lsn <= 5; lsn++ {
+			holders := 0
+
+			for _, replica := range replicas {
+				if replica.Received.LSN >= lsn {
+					holders++
+				}
+			}
+
+			if holders >= sync {
+				acknowledged = lsn
+			}
+		}
+
+		reached := rapid.SliceOfNDistinct(rapid.IntRange(0, members-1), 0, members, rapid.ID[int]).Draw(t, "reached")
+
+		var candidates []takeover.Candidate
+		for _, i := range reached {
+			candidates = append(candidates, replicas[i])
+		}
+
+		chosen, possible := takeover.Choose(candidates, members, sync)
+		if !possible {
+			return
+		}
+
+		for _, candidate := range candidates {
+			if candidate.ID == chosen {
+				require.GreaterOrEqual(t, candidate.Received.LSN, acknowledged)
+			}
+		}
+	})
+}
+
+// Guards against a leaving server that is promoted, only to be replaced again.
+func TestChoosePrefersServersThatStay(t *testing.T) {
+	t.Parallel()
+
+	chosen, possible := takeover.Choose([]takeover.Candidate{
+		{ID: "a", Received: position.Position{Term: 1, LSN: 9}, Leaving: true},
+		{ID: "b", Received: position.Position{Term: 1, LSN: 7}},
+		{ID: "c", Received: position.Position{Term: 1, LSN: 8}},
+	}, 3, 0)
+	assert.True(t, possible)
+	assert.Equal(t, "c", chosen)
+
+	_, possible = takeover.Choose(nil, 2, 0)
+	assert.False(t, possible)
+}
--- a/internal/consensus/founding.go
+++ b/internal/consensus/founding.go
@@ -66,7 +66,7 @@
 // to have stored the same IDs, the group begins. A member that has stored them never joins another group.
 func (g *Group) found() {
 	members, possible := g.founders()
-	if !possible || g.broken != nil {
+	if !possible || g.broken != nil || g.options.Join && g.stage() == blank {
 		return
 	}
 
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -134,8 +134,8 @@
 	}
 }
 
-// admits reports whether a blank member may join: an operator asked for it, or it has the name of a member that is
-// silent and so lost its disk.
+// admits reports whether a blank member may join: an operator asked for it, it has the name of a member that is silent
+// and so lost its disk, or it may replace any silent member and no other member is joining.
 func (g *Group) admits(status replog.Status, known peer) bool {
 	if address, found := g.admitted[known.hello.Name]; found && address == known.address {
 		return true
@@ -147,7 +147,24 @@
 		}
 	}
 
-	return false
+	_, vacant := g.vacancy(status)
+
+	return vacant
+}
+
+// vacancy returns a silent voter that a new member may replace. There is none while another member is joining: it takes
+// the place.
+func (g *Group) vacancy(status replog.Status) (silent replog.Member, found bool) {
+	for _, member := range status.Configuration.Members {
+		switch {
+		case !member.Voter:
+			return replog.Member{}, false
+		case g.options.Replace && g.silent(member.ID):
+			silent, found = member, true
+		}
+	}
+
+	return silent, found
 }
 
 // silent reports whether nothing was heard of a member for some time.
@@ -169,9 +186,30 @@
 		}
 	}
 
+	if replaced, found := g.replaced(status, member); found {
+		g.change(replog.Remove, replaced)
+
+		return
+	}
+
 	g.change(replog.Promote, member)
 }
 
+// replaced returns the silent voter whose place a joining member takes, if its name is new to the group.
+func (g *Group) replaced(status replog.Status, joining replog.Member) (silent replog.Member, found bool) {
+	if !g.options.Replace {
+		return replog.Member{}, false
+	}
+
+	for _, member := range status.Configuration.Members {
+		if member.Voter && member.Name != joining.Name && g.silent(member.ID) {
+			silent, found = member, true
+		}
+	}
+
+	return silent, found
+}
+
 func (g *Group) change(kind replog.ChangeKind, member replog.Member) {
 	index, err := g.node.Change(replog.Change{Kind: kind, Member: member})
 	if err != nil {
--- a/internal/consensus/options.go
+++ b/internal/consensus/options.go
@@ -59,6 +59,10 @@
 	// Initial are the members that form the group at its first start, the same on each of them. Later they only
 	// serve to find the group; the members are those in the log.
 	Initial []Member
+	// Join keeps a member with an empty folder from forming a group: it waits until it is admitted to one.
+	Join bool
+	// Replace lets a member with an empty folder and a new name take the place of a silent member without an operator.
+	Replace bool
 	// Folder is the data folder.
 	Folder  string
 	Machine StateMachine
--- /dev/null
+++ b/internal/deployed/control.go
@@ -0,0 +1,177 @@
+package deployed
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"almondgrade/core/deployment"
+	"almondgrade/core/timer"
+	"almondgrade/internal/consensus"
+	"almondgrade/internal/fleet"
+	"almondgrade/internal/gateway"
+	"almondgrade/internal/metrics"
+	iofleet "almondgrade/io/fleet"
+)
+
+const (
+	// snapshotEvery is the number of log entries after which the log is compacted. An entry may hold a configuration
+	// of 0.2 MB, and the data folder 64 MB.
+	snapshotEvery = 64
+	// connectTimeout bounds one attempt to connect to another process.
+	connectTimeout = time.Second
+	// reconnectLeast and reconnectMost bound the pause between two attempts to connect.
+	reconnectLeast = 20 * time.Millisecond
+	reconnectMost  = 300 * time.Millisecond
+	// messageLimit bounds one message in bytes. A configuration of several hundred pools takes about 0.2 MB.
+	messageLimit = 16 << 20
+	// transferTimeout bounds the hand-over of the leadership at a planned stop.
+	transferTimeout = time.Second
+)
+
+// ControlOptions describe a Control.
+type ControlOptions struct {
+	Name string
+	// Address is where other processes of the system reach this one.
+	Address netip.AddrPort
+	// Seeds are the addresses of control processes. At the first start they are those that form the group.
+	Seeds []netip.AddrPort
+	First bool
+	// Folder is the data folder.
+	Folder   string
+	Dial     gateway.Dialer
+	Promote  func(ctx context.Context, order fleet.Order) (fleet.Promotion, error)
+	Announce time.Duration
+	// Memory is the size in bytes above which the process is ended.
+	Memory int64
+	Logger *slog.Logger
+}
+
+// Control is a control process.
+type Control struct {
+	options    ControlOptions
+	clock      *timer.Clock
+	group      *consensus.Group
+	client     *iofleet.Client
+	controller *fleet.Controller
+	listener   net.Listener
+}
+
+// NewControl starts a control process. Members are named by their address, because nothing else of a seed is known.
+func NewControl(options ControlOptions) (*Control, error) {
+	limitMemory(options.Memory)
+
+	listener, err := net.Listen("tcp", options.Address.String())
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for other processes")
+	}
+
+	var initial []consensus.Member
+	for _, seed := range options.Seeds {
+		initial = append(initial, consensus.Member{Name: seed.Addr().String(), Address: seed})
+	}
+
+	clock := timer.New()
+	state := deployment.NewState()
+
+	group, err := consensus.New(consensus.Options{
+		Self:    consensus.Member{Name: options.Address.Addr().String(), Address: options.Address},
+		Initial: initial, Join: !options.First, Replace: true, Folder: options.Folder, Machine: state, Dial: dial,
+		Timer: clock, Logger: options.Logger, SnapshotEvery: snapshotEvery,
+	})
+	if err != nil {
+		_ = listener.Close()
+
+		return nil, err //nolint:wrapcheck // It says what is wrong with the log.
+	}
+
+	client := iofleet.NewClient(iofleet.ClientOptions{Dial: dial, Logger: options.Logger})
+
+	return &Control{
+		options: options, clock: clock, group: group, client: client, listener: listener,
+		controller: fleet.New(fleet.Options{
+			Name: options.Name, Log: group, State: state, Promote: options.Promote, Dial: options.Dial, Client: client,
+			Timer: clock, Logger: options.Logger, Metrics: metrics.New(), Announce: options.Announce,
+		}),
+	}, nil
+}
+
+// Controller returns the controller, which takes the calls of backend servers and operators.
+func (c *Control) Controller() *fleet.Controller {
+	return c.controller
+}
+
+// Run serves until the context ends or the log fails. At the end it hands the leadership over.
+func (c *Control) Run(ctx context.Context) error {
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(messageLimit))
+	c.group.Register(server)
+	iofleet.Register(server, c.controller)
+
+	ended := make(chan error, 1)
+
+	go func() { ended <- server.Serve(c.listener) }()
+
+	c.options.Logger.Info("control process starts", "address", c.options.Address, "seeds", c.options.Seeds, "first",
+		c.options.First)
+
+	var failure error
+
+	select {
+	case <-ctx.Done():
+		c.handOver()
+	case err := <-c.group.Failed():
+		failure = eris.Wrap(err, "control log failed")
+	case err := <-ended:
+		failure = eris.Wrap(err, "serve other processes")
+	}
+
+	c.controller.Close()
+	server.Stop()
+	c.client.Close()
+
+	if err := c.group.Close(); err != nil && failure == nil {
+		failure = eris.Wrap(err, "close control log")
+	}
+
+	c.clock.Close()
+	c.options.Logger.Info("control process ends", "error", failure)
+
+	return failure
+}
+
+func (c *Control) handOver() {
+	if _, _, self := c.group.Leader(); !self {
+		return
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
+	defer cancel()
+
+	if err := c.group.Transfer(ctx); err != nil {
+		c.options.Logger.Info("leadership could not be handed over", "error", err)
+	}
+}
+
+// dial connects to another process of the system.
+func dial(address netip.AddrPort) (*grpc.ClientConn, error) {
+	connection, err := grpc.NewClient("passthrough:///"+address.String(),
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay: reconnectLeast, Multiplier: backoff.DefaultConfig.Multiplier,
+				Jitter: backoff.DefaultConfig.Jitter, MaxDelay: reconnectMost,
+			},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageLimit)),
+	)
+
+	return connection, eris.Wrapf(err, "connect to %s", address)
+}
--- /dev/null
+++ b/internal/fleet/controller.go
@@ -0,0 +1,263 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"almondgrade/core/deployment"
+	"almondgrade/core/result"
+	"almondgrade/core/timer"
+	"almondgrade/internal/consensus"
+	"almondgrade/internal/gateway"
+	"almondgrade/internal/metrics"
+	iofleet "almondgrade/io/fleet"
+)
+
+const (
+	// leaseTime is the duration of a proxy's lease. It covers the death of the leader and the election of another one,
+	// and all control processes that restart within a second.
+	leaseTime = 3 * time.Second
+	// confirmInterval is the time between two proofs that this process still leads, on which leases are based.
+	confirmInterval = 200 * time.Millisecond
+	// confirmTimeout bounds one proof.
+	confirmTimeout = time.Second
+	// holdTime is the time for which a call of a proxy waits for something new.
+	holdTime = 400 * time.Millisecond
+	// tickInterval is the time between two looks at silent servers and expired leases.
+	tickInterval = 100 * time.Millisecond
+	// proposeTimeout bounds a change of the log. Callers give up after a second.
+	proposeTimeout = 800 * time.Millisecond
+)
+
+// Log is the replicated log.
+type Log interface {
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+	Confirm(ctx context.Context) (index uint64, err error)
+	Leader() (name string, address netip.AddrPort, self bool)
+	Changed() <-chan struct{}
+	Status() consensus.Status
+}
+
+// Order is the order to promote a backend server.
+type Order struct {
+	Group  string
+	Server string
+	Holder string
+	Token  uint64
+}
+
+// Promotion is how the platform took an order.
+type Promotion uint8
+
+// The values of Promotion.
+const (
+	// Unanswered means that the order may be carried out now, later or never.
+	Unanswered Promotion = iota
+	// Accepted means that the order is being carried out.
+	Accepted
+	// Rejected means that a newer order was given, or that the server is not running.
+	Rejected
+)
+
+// Options describe a Controller.
+type Options struct {
+	// Name is the name of this process in orders.
+	Name  string
+	Log   Log
+	State *deployment.State
+	// Promote gives an order to the platform.
+	Promote func(ctx context.Context, order Order) (Promotion, error)
+	Dial    gateway.Dialer
+	// Client carries calls to the leader.
+	Client  *iofleet.Client
+	Timer   timer.Service
+	Logger  *slog.Logger
+	Metrics *metrics.Metrics
+	// Announce is the interval at which backend servers announce themselves.
+	Announce time.Duration
+}
+
+// Controller implements iofleet.Service. It is safe for concurrent use.
+type Controller struct {
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	stop    timer.Stop
+	ticks   chan struct{}
+
+	mutex   sync.Mutex
+	leading *leadership
+}
+
+// New starts a controller.
+func New(options Options) *Controller {
+	ctx, cancel := context.WithCancel(context.Background())
+	created := &Controller{options: options, ctx: ctx, cancel: cancel, ticks: make(chan struct{}, 1)}
+	created.stop = options.Timer.Every(tickInterval, func(time.Time) {
+		select {
+		case created.ticks <- struct{}{}:
+		default:
+		}
+	})
+
+	created.running.Go(created.run)
+
+	return created
+}
+
+// Close stops the controller.
+func (c *Controller) Close() {
+	c.stop()
+	c.cancel()
+	c.running.Wait()
+}
+
+// run follows the log: it begins and ends leaderships and renews the view.
+func (c *Controller) run() {
+	for {
+		changed := c.options.Log.Changed()
+		c.follow()
+
+		select {
+		case <-c.ctx.Done():
+			c.lead(nil)
+
+			return
+		case <-changed:
+		case <-c.ticks:
+		}
+	}
+}
+
+func (c *Controller) follow() {
+	_, _, self := c.options.Log.Leader()
+	term := c.options.Log.Status().Term
+	present := c.leadership()
+
+	switch {
+	case !self:
+		c.lead(nil)
+	case present == nil || present.term != term:
+		c.lead(newLeadership(c, term))
+	default:
+		present.refresh(time.Now())
+	}
+}
+
+// lead ends the present leadership and begins the next one, if there is one.
+func (c *Controller) lead(next *leadership) {
+	c.mutex.Lock()
+	former := c.leading
+	c.leading = next
+	c.mutex.Unlock()
+
+	if former != nil {
+		former.end()
+		c.options.Logger.Info("leadership of control ended", "term", former.term)
+	}
+
+	if next != nil {
+		c.options.Logger.Info("leadership of control begins", "term", next.term)
+		next.begin()
+	}
+}
+
+func (c *Controller) leadership() *leadership {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return c.leading
+}
+
+// Sync implements iofleet.Service.
+func (c *Controller) Sync(ctx context.Context, request *iofleet.SyncRequest) (*iofleet.SyncReply, error) {
+	if present := c.leadership(); present != nil {
+		return present.sync(ctx, request)
+	}
+
+	_, leader, self := c.options.Log.Leader()
+	if self {
+		leader = netip.AddrPort{}
+	}
+
+	return &iofleet.SyncReply{Leader: leader}, nil
+}
+
+// Deliver implements iofleet.Service.
+func (c *Controller) Deliver(ctx context.Context, delivery *iofleet.Delivery) (*iofleet.Receipt, error) {
+	present := c.leadership()
+	if present == nil {
+		return receipt(result.New(result.NotLeader, "this process does not lead")), nil
+	}
+
+	switch {
+	case delivery.Configure != nil:
+		return receipt(present.configure(ctx, *delivery.Configure)), nil
+	case delivery.Announce != nil:
+		return receipt(present.announce(ctx, *delivery.Announce)), nil
+	case delivery.Withdraw != "":
+		return receipt(present.withdraw(ctx, delivery.Withdraw)), nil
+	case delivery.Read:
+		latest, err := present.latest(ctx)
+		answer := receipt(err)
+		answer.Configuration = latest
+
+		return answer, nil
+	default:
+		return receipt(result.New(result.Protocol, "the call is empty")), nil
+	}
+}
+
+// Carry carries out a call of a backend server or an operator, here or at the leader.
+func (c *Controller) Carry(ctx context.Context, delivery *iofleet.Delivery) (*iofleet.Receipt, error) {
+	if c.leadership() != nil {
+		return c.Deliver(ctx, delivery)
+	}
+
+	_, leader, self := c.options.Log.Leader()
+	if self || !leader.IsValid() {
+		return nil, result.New(result.NoQuorum, "no leader of control is known")
+	}
+
+	return c.options.Client.Deliver(ctx, leader, delivery)
+}
+
+func receipt(err error) *iofleet.Receipt {
+	if err == nil {
+		return &iofleet.Receipt{}
+	}
+
+	code := result.CodeOf(err)
+	if code == result.OK {
+		code = result.NoQuorum
+	}
+
+	return &iofleet.Receipt{Code: code, Reason: err.Error()}
+}
+
+// propose makes a change of the log and returns the state's answer.
+func (c *Controller) propose(ctx context.Context, command deployment.Command) (deployment.Answer, error) {
+	encoded, err := command.Encode()
+	if err != nil {
+		return deployment.Answer{}, err
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+
+	reply, err := c.options.Log.Propose(ctx, encoded)
+	if err != nil {
+		return deployment.Answer{}, err //nolint:wrapcheck // It carries a result code.
+	}
+
+	answer, err := deployment.DecodeAnswer(reply)
+	if err != nil {
+		return answer, err
+	}
+
+	return answer, answer.Err()
+}
--- /dev/null
+++ b/internal/fleet/leadership.go
@@ -0,0 +1,443 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"almondgrade/core/container"
+	"almondgrade/core/deployment"
+	"almondgrade/core/lease"
+	"almondgrade/core/result"
+	iofleet "almondgrade/io/fleet"
+)
+
+const (
+	// silentIntervals is the number of announce intervals after which a server that has not announced itself is silent:
+	// one announcement may be lost and the next one late.
+	silentIntervals = 2.5
+	// forgetTime is the time after which a silent server is removed. It exceeds the time for which members and VMs are
+	// usually away, so that a server that returns is known.
+	forgetTime = 12 * time.Second
+	// sightTime is the age up to which a proxy's report counts.
+	sightTime = 1500 * time.Millisecond
+)
+
+// heard is the last announcement of a server.
+type heard struct {
+	started  int64
+	sequence uint64
+	at       time.Time
+}
+
+// report is what a proxy said last.
+type report struct {
+	at     time.Time
+	sights []iofleet.Sight
+}
+
+// leadership is the soft state of one term as leader. It is safe for concurrent use.
+type leadership struct {
+	controller *Controller
+	term       uint64
+	ctx        context.Context
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+
+	mutex  sync.Mutex
+	began  time.Time
+	leases *lease.Table
+	heard  map[string]heard
+	// ended are the servers that were withdrawn, with their last announcement.
+	ended   map[string]heard
+	reports map[string]report
+	// confirmed is the beginning of the last proof that this process led.
+	confirmed time.Time
+	view      iofleet.View
+	index     uint64
+	changed   chan struct{}
+	stewards  container.Set[string]
+}
+
+func newLeadership(c *Controller, term uint64) *leadership {
+	ctx, cancel := context.WithCancel(c.ctx)
+	now := time.Now()
+
+	return &leadership{
+		controller: c, term: term, ctx: ctx, cancel: cancel, began: now, leases: lease.New(now, leaseTime),
+		heard: make(map[string]heard), ended: make(map[string]heard), reports: make(map[string]report),
+		changed: make(chan struct{}), stewards: make(container.Set[string]),
+	}
+}
+
+func (l *leadership) begin() {
+	l.refresh(time.Now())
+	l.running.Go(l.confirm)
+}
+
+func (l *leadership) end() {
+	l.cancel()
+	l.running.Wait()
+}
+
+// confirm proves again and again that this process leads.
+func (l *leadership) confirm() {
+	for l.ctx.Err() == nil {
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(l.ctx, confirmTimeout)
+		_, err := l.controller.options.Log.Confirm(ctx)
+
+		cancel()
+
+		if err == nil {
+			l.mutex.Lock()
+			l.confirmed = began
+			l.mutex.Unlock()
+		} else {
+			l.controller.options.Logger.Warn("leadership could not be confirmed", "term", l.term, "error", err)
+		}
+
+		l.pause(l.ctx, confirmInterval)
+	}
+}
+
+// pause waits. It is false if the context ended.
+func (l *leadership) pause(ctx context.Context, delay time.Duration) bool {
+	passed := make(chan struct{})
+	stop := l.controller.options.Timer.After(delay, func(time.Time) { close(passed) })
+
+	defer stop()
+
+	select {
+	case <-passed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refresh renews the view if anything in it has changed, starts the stewards of new groups and removes servers that
+// were silent for long.
+func (l *leadership) refresh(now time.Time) {
+	state := l.controller.options.State.View()
+
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	for name := range state.Groups {
+		if !l.stewards.Has(name) {
+			l.stewards.Add(name)
+			l.running.Go(newSteward(l, name).run)
+		}
+	}
+
+	next := l.compose(now, state)
+
+	same := l.index == state.Index && slices.Equal(next.Servers, l.view.Servers) && next.Proxies == l.view.Proxies &&
+		slices.Equal(next.Control, l.view.Control) && l.view.Version.Number > 0
+	if !same {
+		next.Version = iofleet.Version{Term: l.term, Number: l.view.Version.Number + 1}
+		l.view, l.index = next, state.Index
+		close(l.changed)
+		l.changed = make(chan struct{})
+	}
+
+	l.forgetSilent(now, state)
+}
+
+// compose returns the present view without a version. The mutex is held.
+func (l *leadership) compose(now time.Time, state *deployment.View) iofleet.View {
+	next := iofleet.View{Proxies: l.leases.Holders(now), Control: l.control()}
+
+	for _, name := range slices.Sorted(maps.Keys(state.Groups)) {
+		next.Groups = append(next.Groups, state.Groups[name])
+	}
+
+	for _, id := range slices.Sorted(maps.Keys(state.Servers)) {
+		server := state.Servers[id]
+		// The sequence grows with each announcement and says nothing to a proxy.
+		server.Sequence = 0
+		next.Servers = append(next.Servers, iofleet.Server{Server: server, Silent: l.silence(now, id) > l.silentTime()})
+	}
+
+	return next
+}
+
+func (l *leadership) control() []netip.AddrPort {
+	var control []netip.AddrPort
+	for _, member := range l.controller.options.Log.Status().Members {
+		control = append(control, member.Address)
+	}
+
+	return control
+}
+
+func (l *leadership) silentTime() time.Duration {
+	return time.Duration(silentIntervals * float64(l.controller.options.Announce))
+}
+
+// silence returns the time since a server announced itself, or since this process leads. The mutex is held.
+func (l *leadership) silence(now time.Time, id string) time.Duration {
+	if last, known := l.heard[id]; known {
+		return now.Sub(last.at)
+	}
+
+	return now.Sub(l.began)
+}
+
+// forgetSilent removes servers that were silent for long, except primaries, whose stewards replace them. The mutex is
+// held.
+func (l *leadership) forgetSilent(now time.Time, state *deployment.View) {
+	for id, server := range state.Servers {
+		if l.silence(now, id) < forgetTime || state.Groups[server.Group].Primary == id {
+			continue
+		}
+
+		last := heard{started: server.Started, sequence: server.Sequence, at: now}
+		l.heard[id] = last // The next attempt comes after as long a time.
+
+		l.running.Go(func() {
+			if err := l.forget(l.ctx, id, last); err != nil {
+				l.controller.options.Logger.Warn("silent server could not be removed", "server", id, "error", err)
+			}
+		})
+	}
+}
+
+func (l *leadership) forget(ctx context.Context, id string, last heard) error {
+	_, err := l.controller.propose(ctx, deployment.Command{
+		Forget: &deployment.Forget{ID: id, Started: last.started, Sequence: last.sequence},
+	})
+	if err == nil {
+		l.controller.options.Logger.Info("server removed", "server", id)
+		l.refresh(time.Now())
+	}
+
+	return err
+}
+
+// sync answers a proxy once there is something new for it.
+func (l *leadership) sync(ctx context.Context, request *iofleet.SyncRequest) (*iofleet.SyncReply, error) {
+	holder := lease.Holder{Name: request.Proxy, Instance: request.Instance}
+
+	l.mutex.Lock()
+	if request.Stopping {
+		l.leases.Release(holder)
+		delete(l.reports, request.Proxy)
+		l.mutex.Unlock()
+
+		return &iofleet.SyncReply{Lease: 1}, nil
+	}
+
+	applied := uint64(0)
+	if request.Applied.Term == l.term {
+		applied = request.Applied.Number
+	}
+
+	now := time.Now()
+	l.leases.Grant(now, holder, applied)
+	l.reports[request.Proxy] = report{at: now, sights: request.Sights}
+	l.mutex.Unlock()
+
+	hold, cancel := context.WithTimeout(ctx, holdTime)
+	defer cancel()
+
+	for {
+		reply, changed := l.reply(request)
+		if reply.View != nil || reply.Configuration != nil || hold.Err() != nil {
+			return reply, nil
+		}
+
+		select {
+		case <-changed:
+		case <-hold.Done():
+		case <-l.ctx.Done():
+			return &iofleet.SyncReply{}, nil
+		}
+	}
+}
+
+// reply returns what is new for a proxy, and the channel that is closed when that changes.
+func (l *leadership) reply(request *iofleet.SyncRequest) (*iofleet.SyncReply, <-chan struct{}) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	// The lease counts from the last proof of leadership.
+	reply := &iofleet.SyncReply{Lease: max(1, leaseTime-time.Since(l.confirmed))}
+
+	if request.Applied != l.view.Version {
+		view := l.view
+		reply.View = &view
+	}
+
+	if latest := l.controller.options.State.View().Configuration; latest.Number > request.Configuration {
+		latest.Document = nil
+		reply.Configuration = &latest
+	}
+
+	return reply, l.changed
+}
+
+// configure accepts a configuration.
+func (l *leadership) configure(ctx context.Context, configuration deployment.Configuration) error {
+	logger := l.controller.options.Logger
+
+	if err := configuration.Check(); err != nil {
+		logger.Info("configuration refused", "number", configuration.Number, "error", err)
+
+		return err
+	}
+
+	if held := l.controller.options.State.View().Configuration.Number; configuration.Number < held {
+		logger.Info("configuration is older than the one in force", "number", configuration.Number, "held", held)
+
+		return nil
+	}
+
+	answer, err := l.controller.propose(ctx, deployment.Command{Configure: &configuration})
+	if err == nil {
+		l.refresh(time.Now())
+	}
+
+	logger.Info("configuration proposed", "number", configuration.Number, "in force", answer.Number, "reason",
+		answer.Reason, "error", err)
+
+	return err
+}
+
+// latest returns the newest configuration, after a proof that there is no newer one.
+func (l *leadership) latest(ctx context.Context) (*deployment.Configuration, error) {
+	if _, err := l.controller.options.Log.Confirm(ctx); err != nil {
+		return nil, err //nolint:wrapcheck // It carries a result code.
+	}
+
+	latest := l.controller.options.State.View().Configuration
+	if latest.Number == 0 {
+		return nil, result.New(result.NotFound, "no configuration has been accepted yet")
+	}
+
+	return &latest, nil
+}
+
+// announce notes an announcement and records what is new in it.
+func (l *leadership) announce(ctx context.Context, server deployment.Server) error {
+	next := heard{started: server.Started, sequence: server.Sequence, at: time.Now()}
+
+	l.mutex.Lock()
+	last, known := l.heard[server.ID]
+	over, ended := l.ended[server.ID]
+
+	if known && !next.newer(last) || ended && !next.newer(over) {
+		l.mutex.Unlock()
+
+		return nil
+	}
+
+	l.heard[server.ID] = next
+	l.mutex.Unlock()
+
+	recorded, exists := l.controller.options.State.View().Servers[server.ID]
+	if exists && (recorded.Same(server) || !server.Newer(recorded)) {
+		return nil
+	}
+
+	_, err := l.controller.propose(ctx, deployment.Command{Announce: &server})
+
+	if result.CodeOf(err) == result.OutdatedEpoch {
+		// A newer announcement came first.
+		return nil
+	}
+
+	if err != nil {
+		return err
+	}
+
+	l.controller.options.Logger.Info("server announced a change", "server", server.ID, "group", server.Group, "address",
+		server.Address, "leaving", server.Leaving, "primary", server.Claims)
+	l.refresh(time.Now())
+
+	return nil
+}
+
+func (h heard) newer(than heard) bool {
+	if h.started != than.started {
+		return h.started > than.started
+	}
+
+	return h.sequence > than.sequence
+}
+
+// withdraw removes a server that has ended.
+func (l *leadership) withdraw(ctx context.Context, id string) error {
+	recorded, known := l.controller.options.State.View().Servers[id]
+	if !known {
+		return nil
+	}
+
+	l.mutex.Lock()
+	last := heard{started: recorded.Started, sequence: recorded.Sequence, at: time.Now()}
+
+	if newest, announced := l.heard[id]; announced && newest.newer(last) {
+		last = newest
+	}
+
+	l.ended[id] = last
+	l.mutex.Unlock()
+
+	return l.forget(ctx, id, last)
+}
+
+// pending returns the proxies that may still act on a view in which the group was in an earlier state.
+func (l *leadership) pending(now time.Time, version uint64) []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	return l.leases.Pending(now, version)
+}
+
+// version returns the number of the present view, after it was renewed.
+func (l *leadership) version() uint64 {
+	l.refresh(time.Now())
+
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	return l.view.Version.Number
+}
+
+// sights returns what the proxies say of a server.
+func (l *leadership) sights(now time.Time, server string) []iofleet.Sight {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	var sights []iofleet.Sight
+
+	for name, last := range l.reports {
+		if now.Sub(last.at) > sightTime {
+			delete(l.reports, name)
+
+			continue
+		}
+
+		for _, sight := range last.sights {
+			if sight.Server == server {
+				sights = append(sights, sight)
+			}
+		}
+	}
+
+	return sights
+}
+
+// announced reports whether a server has announced itself lately.
+func (l *leadership) announced(now time.Time, server string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	_, known := l.heard[server]
+
+	return known && l.silence(now, server) <= l.silentTime()
+}
--- /dev/null
+++ b/internal/fleet/prober.go
@@ -0,0 +1,119 @@
+package fleet
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"almondgrade/core/deployment"
+	"almondgrade/core/position"
+	"almondgrade/internal/gateway"
+)
+
+// finding is what a probe of a server has shown.
+type finding struct {
+	answered bool
+	// busy is true if the server answered that it has no room; nothing else is known then.
+	busy    bool
+	primary bool
+	// position is the last position that the server has received.
+	position position.Position
+	// fresh is true if the connection was opened for the probe.
+	fresh   bool
+	refused bool
+	err     error
+}
+
+// prober asks backend servers for their state over one connection to each.
+type prober struct {
+	dial  gateway.Dialer
+	conns map[string]gateway.Backend
+}
+
+func newProber(dial gateway.Dialer) *prober {
+	return &prober{dial: dial, conns: make(map[string]gateway.Backend)}
+}
+
+// probe asks a server for its state, on a new connection if fresh is set or there is none.
+func (p *prober) probe(server deployment.Server, fresh bool) finding {
+	deadline := time.Now().Add(probeTimeout)
+	used := p.conns[server.ID]
+
+	if used != nil && fresh {
+		p.drop(server.ID)
+
+		used = nil
+	}
+
+	seen := finding{fresh: used == nil}
+
+	if used == nil {
+		opened, err := p.dial(deadline, server)
+		if err != nil {
+			return seen.failed(err)
+		}
+
+		used = opened
+		p.conns[server.ID] = opened
+	}
+
+	answers, err := used.Run(deadline, gateway.Command{Statement: gateway.Statement{Kind: gateway.Status}})
+	if err != nil {
+		p.drop(server.ID)
+
+		return seen.failed(err)
+	}
+
+	return seen.read(answers[0])
+}
+
+func (r finding) failed(err error) finding {
+	var outcome *gateway.OutcomeError
+
+	r.err = err
+	r.refused = errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+
+	if errors.As(err, &outcome) {
+		// Another server at the address is a refusal; a server without room for a connection is alive.
+		r.refused = outcome.Outcome == gateway.WrongServer
+		r.answered = !r.refused
+		r.busy = r.answered
+	}
+
+	return r
+}
+
+func (r finding) read(answer gateway.Answer) finding {
+	r.answered = true
+
+	if answer.Status == nil {
+		r.busy = true
+		r.err = answer.Err()
+
+		return r
+	}
+
+	r.primary, r.position = answer.Status.Primary, answer.Status.Received
+
+	return r
+}
+
+// keep closes the connections to all but one server.
+func (p *prober) keep(id string) {
+	for other := range p.conns {
+		if other != id {
+			p.drop(other)
+		}
+	}
+}
+
+func (p *prober) drop(id string) {
+	if used := p.conns[id]; used != nil {
+		used.Close()
+		delete(p.conns, id)
+	}
+}
+
+func (p *prober) close() {
+	p.keep("")
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"almondgrade/core/deployment"
+	"almondgrade/core/retry"
+	"almondgrade/core/timer"
+	"almondgrade/internal/metrics"
+	"almondgrade/io/fleet"
+)
+
+// Dialer opens a connection to a backend server. It fails with an OutcomeError if the server refuses it.
+type Dialer func(deadline time.Time, server deployment.Server) (Backend, error)
+
+const (
+	// trimInterval is the time between two searches for surplus connections.
+	trimInterval = 500 * time.Millisecond
+	// retryShare is the part of the statements that may be repeated on another server, and retryFloor the number that
+	// is granted in a window without much traffic. A takeover makes each session repeat one statement.
+	retryShare = 0.3
+	retryFloor = 50
+)
+
+// Options describe a Gateway.
+type Options struct {
+	Dial Dialer
+	// Centre is the data centre of the proxy.
+	Centre  string
+	Logger  *slog.Logger
+	Metrics *metrics.Metrics
+	Timer   timer.Service
+	// Boot tells the time of a clock that counts suspensions; timer.Boot by default.
+	Boot func() time.Time
+}
+
+// Gateway serves callers. It is safe for concurrent use.
+type Gateway struct {
+	options Options
+	budget  *retry.Budget
+	names   *names
+	stop    timer.Stop
+
+	view atomic.Pointer[view]
+	// lease is the end of the lease as a boot time.
+	lease    atomic.Pointer[time.Time]
+	draining atomic.Bool
+	sequence atomic.Uint64
+
+	mutex    sync.Mutex
+	servers  map[string]*server
+	tracks   map[string]*track
+	sessions map[*session]struct{}
+	changed  chan struct{}
+}
+
+// New returns a gateway that knows no configuration yet.
+func New(options Options) *Gateway {
+	if options.Boot == nil {
+		options.Boot = timer.Boot
+	}
+
+	created := &Gateway{
+		options: options, budget: retry.NewBudget(retryShare, retry.DefaultWindow).WithFloor(retryFloor), names: newNames(),
+		servers: make(map[string]*server), tracks: make(map[string]*track), sessions: make(map[*session]struct{}),
+		changed: make(chan struct{}),
+	}
+	created.view.Store(&view{})
+	created.lease.Store(&time.Time{})
+	created.stop = options.Timer.Every(trimInterval, created.trim)
+
+	return created
+}
+
+// Extend sets the end of the lease of the leader of control, as a boot time.
+func (g *Gateway) Extend(until time.Time) {
+	g.lease.Store(&until)
+}
+
+// leased reports whether the leader of control waits for this proxy before it replaces a primary of the view.
+func (g *Gateway) leased(now time.Time) bool {
+	return now.Before(*g.lease.Load())
+}
+
+// Ready reports whether callers should come to this proxy: it knows a configuration and does not stop.
+func (g *Gateway) Ready() bool {
+	return !g.draining.Load() && g.view.Load().configuration != nil
+}
+
+// Sights returns what the proxy says of the primaries.
+func (g *Gateway) Sights() []fleet.Sight {
+	now := time.Now()
+
+	var sights []fleet.Sight
+
+	for _, group := range g.view.Load().groups {
+		if group.primary != nil {
+			sights = append(sights, group.primary.sight(now))
+		}
+	}
+
+	return sights
+}
+
+// Serve serves a caller until it leaves.
+func (g *Gateway) Serve(caller Caller) {
+	defer caller.Close()
+
+	served := newSession(g, caller)
+	if !served.login() {
+		return
+	}
+
+	g.mutex.Lock()
+	g.sessions[served] = struct{}{}
+	g.mutex.Unlock()
+
+	served.run()
+
+	g.mutex.Lock()
+	delete(g.sessions, served)
+	g.mutex.Unlock()
+}
+
+// Drain begins a planned stop: Ready is false from now on.
+func (g *Gateway) Drain() {
+	g.draining.Store(true)
+}
+
+// CloseIdle ends the sessions that are outside a transaction. With all, those in a transaction end as well; their
+// transactions are rolled back. It returns the number of sessions that are left.
+func (g *Gateway) CloseIdle(all bool) int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	for one := range g.sessions {
+		one.closing.Store(true)
+
+		if all {
+			one.ending.Store(true)
+		}
+
+		one.caller.Interrupt()
+	}
+
+	return len(g.sessions)
+}
+
+// Sessions returns the number of open sessions.
+func (g *Gateway) Sessions() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	return len(g.sessions)
+}
+
+// Close ends the connections to backend servers.
+func (g *Gateway) Close() {
+	g.stop()
+
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	for _, one := range g.servers {
+		one.pool.close()
+	}
+}
+
+func (g *Gateway) trim(now time.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	for _, one := range g.servers {
+		one.pool.trim(now)
+	}
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"almondgrade/core/position"
+	"almondgrade/core/route"
+	"almondgrade/io/fleet"
+)
+
+const (
+	// connectTimeout bounds the opening of a connection. A server that takes no connection for so long is taken for
+	// unreachable by the request, which goes elsewhere or is refused.
+	connectTimeout = 500 * time.Millisecond
+	// lagDecay is the time in which the estimate of a replica's lag halves, so that a replica that was far behind is
+	// tried again.
+	lagDecay = time.Second
+	// lagMargin is added to the lag that an answer showed, because the lag varies from commit to commit.
+	lagMargin = 30 * time.Millisecond
+)
+
+// server is a backend server with what the gateway learned of it.
+type server struct {
+	id      string
+	info    atomic.Pointer[fleet.Server]
+	pool    *pool
+	dial    Dialer
+	running atomic.Int64
+
+	mutex sync.Mutex
+	// lag estimates how far the server's log is behind the primary's, as of the time lagAt.
+	lag   time.Duration
+	lagAt time.Time
+	held  position.Position
+	// failed is the time of the last failure to use the server, failing that of the first one since the last answer.
+	failed  time.Time
+	failing time.Time
+	// answered is the time of the last answer.
+	answered time.Time
+}
+
+func newServer(info fleet.Server, dial Dialer) *server {
+	created := &server{id: info.ID, dial: dial}
+	created.info.Store(&info)
+	created.pool = &pool{server: created, share: 1, limit: 1}
+
+	return created
+}
+
+// open opens a connection.
+func (s *server) open(deadline time.Time) (*conn, error) {
+	backend, err := s.dial(minTime(deadline, time.Now().Add(connectTimeout)), s.info.Load().Server)
+	if err != nil {
+		if outcome := outcomeOf(err); outcome != ConnectionLimit && outcome != Busy {
+			s.fail(time.Now())
+		}
+
+		return nil, err
+	}
+
+	return newConn(backend, s), nil
+}
+
+// fail notes that the server could not be used.
+func (s *server) fail(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.failed = now
+	if s.failing.IsZero() {
+		s.failing = now
+	}
+}
+
+// answer notes that the server answered.
+func (s *server) answer(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.answered = now
+	s.failed, s.failing = time.Time{}, time.Time{}
+}
+
+// holds notes the position of a replica's log and its lag.
+func (s *server) holds(now time.Time, held position.Position, lag time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	if s.held.Less(held) {
+		s.held = held
+	}
+
+	if lag > 0 {
+		lag += lagMargin
+	}
+
+	if decayed := s.estimate(now); lag > decayed {
+		s.lag, s.lagAt = lag, now
+	} else if s.lagAt.IsZero() || now.Sub(s.lagAt) > lagDecay {
+		s.lag, s.lagAt = max(lag, decayed), now
+	}
+}
+
+// estimate returns the present estimate of the lag. The mutex is held.
+func (s *server) estimate(now time.Time) time.Duration {
+	lag := s.lag
+	for passed := now.Sub(s.lagAt); passed > lagDecay && lag > 0; passed -= lagDecay {
+		lag /= 2
+	}
+
+	return lag
+}
+
+// covers reports whether the server's log is expected to hold a position that the primary passed some time ago.
+func (s *server) covers(now time.Time, floor position.Position, passed time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return !s.held.Less(floor) || passed >= s.estimate(now)
+}
+
+// describe returns the server for a routing decision.
+func (s *server) describe(primary bool) route.Server {
+	info := s.info.Load()
+
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return route.Server{
+		Name: s.id, Centre: info.Centre, Primary: primary, Reachable: !info.Silent || s.failing.IsZero(),
+		Leaving: info.Leaving, Running: int(s.running.Load()), Slots: info.Slots, Failed: s.failed,
+	}
+}
+
+// sight returns what the proxy says of a primary.
+func (s *server) sight(now time.Time) fleet.Sight {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	sight := fleet.Sight{Server: s.id}
+
+	switch {
+	case !s.failing.IsZero():
+		sight.Failing = max(now.Sub(s.failing), time.Millisecond)
+	case now.Sub(s.answered) < sightTime:
+		sight.Reached = true
+	}
+
+	return sight
+}
+
+// sightTime is the age up to which an answer shows that a server is reached.
+const sightTime = time.Second
+
+func outcomeOf(err error) Outcome {
+	var failure *OutcomeError
+	if errors.As(err, &failure) {
+		return failure.Outcome
+	}
+
+	return Done
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+
+	return b
+}
--- /dev/null
+++ b/internal/gateway/statement.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"time"
+
+	"almondgrade/core/position"
+)
+
+// Kind says what a statement does.
+type Kind uint8
+
+// The kinds of statements. Malformed stands for a message that could not be read; Text tells why.
+const (
+	Malformed Kind = iota
+	Begin
+	BeginRead
+	Commit
+	Rollback
+	Read
+	Write
+	Set
+	Prepare
+	Execute
+	Deallocate
+	// Reset and Status are never sent by callers.
+	Reset
+	Status
+)
+
+// Statement is a request of a caller.
+type Statement struct {
+	// ID identifies the request at the caller and on the backend server.
+	ID   string
+	Kind Kind
+	// Text is the statement as the caller sent it.
+	Text string
+	// Name is the name of a value or a prepared statement.
+	Name string
+	// Value is what Set stores, or the shape of a prepared statement.
+	Value string
+	// Writes is true for Write, and for a Prepare of a statement that writes.
+	Writes bool
+}
+
+// Command is a statement for a backend server.
+type Command struct {
+	Statement
+	// Prepared is the name of the prepared statement on the backend server, in place of the caller's.
+	Prepared string
+	// After is the position that the server's log must hold, or zero.
+	After position.Position
+}
+
+// State is the state of a session or a connection.
+type State uint8
+
+// The states.
+const (
+	// Idle means outside a transaction.
+	Idle State = iota
+	// Open means in a transaction.
+	Open
+	// Aborted means in a transaction that can only be ended.
+	Aborted
+)
+
+// Outcome is how a backend server answered.
+type Outcome uint8
+
+// The outcomes. Up to UnknownStatement, an outcome other than Done says that the statement did not run.
+const (
+	Done Outcome = iota
+	// Busy means that the server has no room for the statement.
+	Busy
+	// Behind means that the server's log lacks the position of the command.
+	Behind
+	// NotPrimary means that the statement needs the primary.
+	NotPrimary
+	// WrongServer means that another server has the address.
+	WrongServer
+	// ConnectionLimit means that the server has too many connections.
+	ConnectionLimit
+	// UnknownStatement means that the connection has no such prepared statement.
+	UnknownStatement
+	// Failed means that the statement ran and failed.
+	Failed
+	// TimedOut means that the statement ran for too long.
+	TimedOut
+	// OtherFailure is an error without a meaning to the gateway.
+	OtherFailure
+)
+
+// Ran reports whether a statement with this outcome may have run.
+func (o Outcome) Ran() bool {
+	return o == Done || o >= Failed
+}
+
+// Answer is what a backend server returned.
+type Answer struct {
+	Outcome Outcome
+	// Detail explains an outcome other than Done.
+	Detail string
+	Rows   []string
+	// Signature is the server's proof that it ran the statement.
+	Signature string
+	State     State
+	// Position is the last position of the server's log.
+	Position position.Position
+	// Status is the answer to a Status command.
+	Status *ServerStatus
+}
+
+// Backend is a connection to a backend server. It is used by one goroutine at a time.
+type Backend interface {
+	// Run sends the commands and returns their answers in order. After an error the connection can't be used.
+	Run(deadline time.Time, commands ...Command) ([]Answer, error)
+	// Alive reports whether the server has kept the connection open, as far as this side can tell without waiting.
+	Alive() bool
+	Close()
+}
+
+// OutcomeError is an answer other than Done as an error.
+type OutcomeError struct {
+	Outcome Outcome
+	Detail  string
+}
+
+// Error implements error.
+func (e *OutcomeError) Error() string {
+	return e.Outcome.String() + ": " + e.Detail
+}
+
+// String returns the word that messages use.
+func (o Outcome) String() string {
+	switch o {
+	case Done:
+		return "done"
+	case Busy:
+		return "server busy"
+	case Behind:
+		return "server behind"
+	case NotPrimary:
+		return "not the primary"
+	case WrongServer:
+		return "wrong server"
+	case ConnectionLimit:
+		return "too many connections"
+	case UnknownStatement:
+		return "unknown prepared statement"
+	case Failed:
+		return "statement failed"
+	case TimedOut:
+		return "statement timed out"
+	case OtherFailure:
+		return "server error"
+	}
+
+	return "unknown"
+}
+
+// Err returns an outcome other than Done as an error.
+func (a Answer) Err() error {
+	if a.Outcome == Done {
+		return nil
+	}
+
+	return &OutcomeError{Outcome: a.Outcome, Detail: a.Detail}
+}
--- /dev/null
+++ b/internal/gateway/view.go
@@ -0,0 +1,190 @@
+package gateway
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"almondgrade/core/deployment"
+	"almondgrade/core/freshness"
+	"almondgrade/core/position"
+	"almondgrade/io/fleet"
+)
+
+// view is what requests act on. It is immutable.
+type view struct {
+	version       fleet.Version
+	configuration *deployment.Configuration
+	pools         map[string]*deployment.Pool
+	groups        map[string]*group
+	control       *fleet.View
+}
+
+// group is a group of a view.
+type group struct {
+	deployment.Group
+	primary *server
+	servers []*server
+	track   *track
+}
+
+// track is a freshness.Track for concurrent use.
+type track struct {
+	mutex sync.Mutex
+	track *freshness.Track
+}
+
+func (t *track) observe(at time.Time, seen position.Position) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	t.track.Observe(at, seen)
+}
+
+func (t *track) floor(now time.Time, maxAge time.Duration) (position.Position, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	return t.track.Floor(now, maxAge)
+}
+
+func (t *track) behind(now time.Time, held position.Position) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	return t.track.Behind(now, held)
+}
+
+// Applied returns the version of the view and the number of the configuration in force.
+func (g *Gateway) Applied() (version fleet.Version, configuration uint64) {
+	present := g.view.Load()
+	if present.configuration != nil {
+		configuration = present.configuration.Number
+	}
+
+	return present.version, configuration
+}
+
+// Apply puts a configuration and a view into force; nil keeps the present one. A configuration with a lower number than
+// the present one is left out.
+func (g *Gateway) Apply(configuration *deployment.Configuration, control *fleet.View) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	next := *g.view.Load()
+
+	if configuration != nil && configuration.Number > 0 &&
+		(next.configuration == nil || configuration.Number > next.configuration.Number) {
+		next.configuration = configuration
+		next.pools = make(map[string]*deployment.Pool, len(configuration.Pools))
+
+		for i := range configuration.Pools {
+			next.pools[configuration.Pools[i].Database] = &configuration.Pools[i]
+		}
+
+		g.options.Logger.Info("configuration in force", "number", configuration.Number, "pools", len(configuration.Pools))
+	}
+
+	if control != nil {
+		next.version, next.control = control.Version, control
+	}
+
+	if next.control != nil {
+		next.groups = g.groups(next.control)
+		g.size(&next)
+	}
+
+	g.view.Store(&next)
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// groups returns the groups of a view, with the server objects that exist already. The mutex is held.
+func (g *Gateway) groups(control *fleet.View) map[string]*group {
+	former := g.view.Load().groups
+	groups := make(map[string]*group, len(control.Groups))
+	present := make(map[string]bool, len(control.Servers))
+
+	for _, one := range control.Groups {
+		if g.tracks[one.Name] == nil {
+			g.tracks[one.Name] = &track{track: freshness.New()}
+		}
+
+		groups[one.Name] = &group{Group: one, track: g.tracks[one.Name]}
+
+		if before := former[one.Name]; before != nil && (before.Primary != one.Primary || before.Phase != one.Phase) {
+			g.options.Logger.Info("view of a group changed", "group", one.Name, "primary", one.Primary,
+				"phase", one.Phase.String(), "former", before.Primary, "version", control.Version)
+		}
+	}
+
+	for _, info := range control.Servers {
+		within := groups[info.Group]
+		if within == nil {
+			continue
+		}
+
+		present[info.ID] = true
+		known := g.servers[info.ID]
+
+		if known == nil || known.info.Load().Address != info.Address || known.info.Load().Started != info.Started {
+			if known != nil {
+				known.pool.close()
+			}
+
+			known = newServer(info, g.options.Dial)
+			g.servers[info.ID] = known
+		}
+
+		known.info.Store(&info)
+
+		within.servers = append(within.servers, known)
+		if info.ID == within.Primary {
+			within.primary = known
+		}
+	}
+
+	for id, known := range g.servers {
+		if !present[id] {
+			known.pool.close()
+			delete(g.servers, id)
+		}
+	}
+
+	return groups
+}
+
+// size tells the pools how many connections they may hold. The mutex is held.
+func (g *Gateway) size(next *view) {
+	if next.configuration == nil {
+		return
+	}
+
+	limits := make(map[string]int, len(next.configuration.Groups))
+	for _, one := range next.configuration.Groups {
+		limits[one.Name] = one.Connections
+	}
+
+	for name, within := range next.groups {
+		for _, one := range within.servers {
+			one.pool.size(limits[name], next.control.Proxies)
+		}
+	}
+}
+
+// wait returns the present view and a channel that is closed when it changes.
+func (g *Gateway) wait() (*view, <-chan struct{}) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	return g.view.Load(), g.changed
+}
+
+// Control returns the addresses of the control processes of the view.
+func (g *Gateway) Control() []netip.AddrPort {
+	if present := g.view.Load(); present.control != nil {
+		return present.control.Control
+	}
+
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/work.go
@@ -0,0 +1,428 @@
+package gateway
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"almondgrade/core/deployment"
+	"almondgrade/core/position"
+	"almondgrade/core/result"
+	"almondgrade/core/retry"
+	"almondgrade/core/route"
+)
+
+const (
+	// ageMargin is taken off the age that a pool permits, for the time between the decision and the read.
+	ageMargin = 20 * time.Millisecond
+	// silenceShare is the part of a statement's timeout after which a read without an answer is tried elsewhere, as a
+	// divisor. Open connections may go silent while new ones work.
+	silenceShare = 3
+	// attemptLimit bounds the attempts at one statement.
+	attemptLimit = 6
+	// takeoverWait bounds the time for which a statement waits for another primary. A promotion takes about a second.
+	takeoverWait = 1500 * time.Millisecond
+)
+
+// work is a statement outside a transaction, or the first one of a transaction.
+type work struct {
+	session  *session
+	pool     deployment.Pool
+	command  Command
+	needed   *prepared
+	deadline time.Time
+	attempts int
+	avoid    []string
+	// reason is the last failure.
+	reason error
+}
+
+// target is where an attempt goes.
+type target struct {
+	server *server
+	group  *group
+	// primary is true if the server is the primary of the view, leased if reads of the latest data may rely on that.
+	primary bool
+	leased  bool
+	after   position.Position
+	// now is the boot time of the decision.
+	now time.Time
+}
+
+// read runs a single read.
+func (w *work) read() Reply {
+	for w.again() {
+		to, err := w.choose()
+		if err != nil {
+			if !w.hold(err) {
+				break
+			}
+
+			continue
+		}
+
+		answer, err := w.attempt(to, nil)
+		if err == nil && answer.Outcome == Done {
+			return Reply{Rows: answer.Rows, Signature: answer.Signature, Position: answer.Position}
+		}
+
+		w.failed(to, answer, err)
+	}
+
+	return w.give()
+}
+
+// write runs a single write.
+func (w *work) write() Reply {
+	for w.again() {
+		to, err := w.primary()
+		if err != nil {
+			if !w.hold(err) {
+				break
+			}
+
+			continue
+		}
+
+		answer, err := w.attempt(to, nil)
+		if err == nil && answer.Outcome == Done {
+			w.session.wrote = answer.Position
+
+			return Reply{Rows: answer.Rows, Signature: answer.Signature, Position: answer.Position}
+		}
+
+		w.failed(to, answer, err)
+
+		var lost *lostError
+		if errors.As(err, &lost) {
+			w.reason = result.New(result.ConnectionLost, "server %s did not answer the write: %w", to.server.id, lost.cause)
+
+			break
+		}
+
+		if err == nil && answer.Outcome.Ran() {
+			break
+		}
+	}
+
+	return w.give()
+}
+
+// again reports whether another attempt may be made, and waits before it.
+func (w *work) again() bool {
+	w.attempts++
+	if w.attempts == 1 {
+		return true
+	}
+
+	if w.attempts > attemptLimit || !w.session.gateway.budget.Retry(time.Now()) {
+		return false
+	}
+
+	// The first change of server needs no pause; later attempts wait for whatever is wrong to pass.
+	pause, inTime := time.Duration(0), time.Now().Before(w.deadline)
+	if w.attempts > 2 {
+		pause, inTime = retry.DefaultBackoff.Delay(w.attempts-2, rand.Float64(), time.Now(), w.deadline)
+	}
+
+	if !inTime {
+		return false
+	}
+
+	time.Sleep(pause)
+	w.session.gateway.count("retries")
+
+	return true
+}
+
+// give returns the reply after the last attempt.
+func (w *work) give() Reply {
+	if w.reason == nil {
+		w.reason = result.New(result.DeadlinePassed, "the statement could not be run within %s", w.pool.Timeout)
+	}
+
+	w.session.gateway.refused(w.command.Statement, w.session.database, w.reason, w.attempts)
+
+	return Reply{Err: w.reason, State: w.session.tx.state()}
+}
+
+// hold waits for the end of a takeover. It is false if the statement is to be refused.
+func (w *work) hold(reason error) bool {
+	w.reason = reason
+
+	var during *takeoverError
+	if !errors.As(reason, &during) {
+		return false
+	}
+
+	present, changed := w.session.gateway.wait()
+
+	// The view may have changed since the decision.
+	if within := present.groups[w.pool.Group]; within == nil || within.Phase == deployment.Stable && within.primary != nil {
+		w.attempts--
+
+		return within != nil
+	}
+
+	timer := time.NewTimer(min(time.Until(w.deadline), takeoverWait))
+	defer timer.Stop()
+
+	select {
+	case <-changed:
+		w.attempts--
+
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// takeoverError says that the group has no primary now but will soon have one.
+type takeoverError struct {
+	refusal *result.Error
+}
+
+// Error implements error.
+func (e *takeoverError) Error() string {
+	return e.refusal.Error()
+}
+
+// Unwrap returns the refusal with its code.
+func (e *takeoverError) Unwrap() error {
+	return e.refusal
+}
+
+// primary returns the primary for a write.
+func (w *work) primary() (target, error) {
+	gateway := w.session.gateway
+	present := gateway.view.Load()
+	within := present.groups[w.pool.Group]
+
+	switch {
+	case within == nil || within.Primary == "":
+		return target{}, result.New(result.NoPrimary, "group %s has no primary yet", w.pool.Group)
+	case within.Phase != deployment.Stable:
+		return target{}, &takeoverError{result.New(result.NoPrimary, "group %s is changing its primary", w.pool.Group)}
+	case within.primary == nil:
+		return target{}, result.New(result.NoPrimary, "primary %s of group %s is gone", within.Primary, w.pool.Group)
+	}
+
+	now := gateway.options.Boot()
+
+	return target{server: within.primary, group: within, primary: true, leased: gateway.leased(now), now: now}, nil
+}
+
+// choose returns the server for a read.
+func (w *work) choose() (target, error) {
+	if w.pool.Freshness == deployment.Latest {
+		to, err := w.primary()
+		if err == nil && !to.leased {
+			err = result.New(result.Unconfirmed, "the proxy can't confirm the primary of group %s", w.pool.Group)
+		}
+
+		return to, err
+	}
+
+	gateway := w.session.gateway
+	now := gateway.options.Boot()
+	within := gateway.view.Load().groups[w.pool.Group]
+
+	if within == nil {
+		return target{}, result.New(result.NoPrimary, "group %s is not known", w.pool.Group)
+	}
+
+	floor, known := within.track.floor(now, w.pool.MaxAge-ageMargin)
+	if known && w.pool.Freshness == deployment.Session && floor.Less(w.session.wrote) {
+		floor = w.session.wrote
+	}
+
+	if chosen := w.replica(now, within, floor, known); chosen != nil {
+		return target{server: chosen, group: within, primary: chosen == within.primary, after: floor, now: now}, nil
+	}
+
+	to, err := w.primary()
+	if err == nil && !known && !to.leased {
+		err = result.New(result.Unconfirmed, "the proxy knows neither a recent position of group %s nor its primary", w.pool.Group)
+	}
+
+	to.after = floor
+
+	return to, err
+}
+
+// replica returns a replica that is expected to hold the floor, or the primary if it is the better choice, or nil.
+func (w *work) replica(now time.Time, within *group, floor position.Position, known bool) *server {
+	if !known {
+		return nil
+	}
+
+	passed := within.track.behind(now, position.Position{Term: floor.Term, LSN: floor.LSN - min(floor.LSN, 1)})
+	servers := w.session.candidates[:0]
+
+	for _, one := range within.servers {
+		described := one.describe(one == within.primary && within.Phase == deployment.Stable)
+		if w.avoided(one.id) || one == within.primary && within.Phase != deployment.Stable {
+			described.Reachable = false
+		}
+
+		if one.covers(now, floor, passed) {
+			described.At = floor
+		}
+
+		servers = append(servers, described)
+	}
+
+	w.session.candidates = servers
+
+	policy, err := route.Named("fresh")
+	if err != nil {
+		panic(err) // The name is one of route.Names.
+	}
+
+	choice := policy.Choose(route.Request{
+		Now: time.Now(), Floor: floor, Centre: w.session.gateway.options.Centre, Servers: servers, Turn: rand.Uint64(),
+	})
+	if choice.Kind != route.Replica {
+		return nil
+	}
+
+	for _, one := range within.servers {
+		if one.id == choice.Server {
+			return one
+		}
+	}
+
+	return nil
+}
+
+func (w *work) avoided(id string) bool {
+	for _, avoided := range w.avoid {
+		if avoided == id {
+			return true
+		}
+	}
+
+	return false
+}
+
+// lostError says that a statement was sent and not answered.
+type lostError struct {
+	cause error
+}
+
+// Error implements error.
+func (e *lostError) Error() string {
+	return "no answer: " + e.cause.Error()
+}
+
+// attempt runs the command on a server. With begin, the connection is in a transaction of that kind before, and is
+// handed to the session.
+func (w *work) attempt(to target, begin *Command) (Answer, error) {
+	deadline := w.deadline
+	if !w.command.Writes {
+		deadline = minTime(deadline, time.Now().Add(w.pool.Timeout/silenceShare))
+	}
+
+	to.server.running.Add(1)
+	defer to.server.running.Add(-1)
+
+	used, err := to.server.pool.get(deadline, w.pool.Priority, w.session.number, w.session.values)
+	if err != nil {
+		return Answer{}, err
+	}
+
+	used.session = w.session.number
+	commands := used.setup(w.session.values, w.needed)
+
+	last := w.command
+	if begin != nil {
+		begin.After = to.after
+		commands = append(commands, *begin)
+	} else if !last.Writes {
+		last.After = to.after
+	}
+
+	answer, err := used.run(deadline, append(commands, last)...)
+
+	switch {
+	case errors.Is(err, errSetup):
+		// The connection may be half prepared, or in a transaction.
+		used.broken = true
+		to.server.pool.put(used)
+
+		if begin != nil && answer.Outcome != Done {
+			return answer, nil
+		}
+
+		return Answer{Outcome: Busy, Detail: "the connection could not be set up: " + answer.Detail}, nil
+	case err != nil:
+		to.server.pool.put(used)
+		to.server.fail(time.Now())
+
+		return Answer{}, &lostError{err}
+	}
+
+	w.learn(to, answer)
+
+	if begin != nil && answer.Outcome == Done {
+		w.session.tx.conn = used
+
+		return answer, nil
+	}
+
+	if begin != nil {
+		// The transaction ends with its connection.
+		used.broken = true
+	}
+
+	to.server.pool.put(used)
+
+	return answer, nil
+}
+
+// learn notes what an answer shows of the server.
+func (w *work) learn(to target, answer Answer) {
+	now := time.Now()
+
+	if answer.Outcome != Busy {
+		to.server.answer(now)
+	}
+
+	if answer.Outcome != Done && answer.Outcome != Behind {
+		return
+	}
+
+	// A write shows that the server was the primary. A read shows it only under a lease.
+	if to.primary {
+		if answer.Outcome == Done && (to.leased || w.command.Writes) {
+			to.group.track.observe(to.now, answer.Position)
+		}
+
+		return
+	}
+
+	boot := w.session.gateway.options.Boot()
+	to.server.holds(boot, answer.Position, to.group.track.behind(boot, answer.Position))
+}
+
+// failed notes why an attempt failed.
+func (w *work) failed(to target, answer Answer, err error) {
+	w.avoid = append(w.avoid, to.server.id)
+
+	var lost *lostError
+
+	switch {
+	case errors.As(err, &lost):
+		w.reason = result.New(result.ServerUnreachable, "server %s did not answer: %w", to.server.id, lost.cause)
+		// Other connections of the time may be silent as well.
+		to.server.pool.suspect()
+	case err != nil && result.CodeOf(err) != result.OK:
+		w.reason = err
+	case err != nil:
+		w.reason = result.New(result.ServerUnreachable, "server %s can't be reached: %w", to.server.id, err)
+	default:
+		w.reason = answer.Err()
+	}
+
+	w.session.gateway.retried(w.command.Statement, to.server.id, w.reason, w.attempts)
+}
--- /dev/null
+++ b/io/fleet/client.go
@@ -0,0 +1,192 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+
+	"almondgrade/core/result"
+)
+
+const (
+	// SyncTimeout bounds a Sync: the hold, plus a round of the leader's own log, plus a slow link. A connection that
+	// has gone silent is replaced after it.
+	SyncTimeout = 1200 * time.Millisecond
+	// DeliverTimeout bounds a Deliver. Backend servers and operators give up after a second.
+	DeliverTimeout = 900 * time.Millisecond
+	// redirects bounds how often one call follows a named leader.
+	redirects = 3
+)
+
+// ClientOptions describe a Client.
+type ClientOptions struct {
+	// Seeds are the control processes to begin with.
+	Seeds []netip.AddrPort
+	// Dial opens a new connection to a control process.
+	Dial   func(netip.AddrPort) (*grpc.ClientConn, error)
+	Logger *slog.Logger
+}
+
+// Client calls the leader of control. It is safe for concurrent use.
+type Client struct {
+	options ClientOptions
+
+	mutex   sync.Mutex
+	known   []netip.AddrPort
+	present netip.AddrPort
+	conns   map[netip.AddrPort]*grpc.ClientConn
+}
+
+// NewClient returns a client, which connects at its first call.
+func NewClient(options ClientOptions) *Client {
+	client := &Client{options: options, conns: make(map[netip.AddrPort]*grpc.ClientConn)}
+	client.Learn(nil)
+
+	return client
+}
+
+// Learn replaces the known control processes. The seeds stay known.
+func (c *Client) Learn(control []netip.AddrPort) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	c.known = slices.Clone(control)
+
+	for _, seed := range c.options.Seeds {
+		if !slices.Contains(c.known, seed) {
+			c.known = append(c.known, seed)
+		}
+	}
+
+	if !c.present.IsValid() && len(c.known) > 0 {
+		c.present = c.known[0]
+	}
+}
+
+// Sync calls the leader. A failed call makes the next one begin at another control process.
+func (c *Client) Sync(ctx context.Context, request *SyncRequest) (*SyncReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, SyncTimeout)
+	defer cancel()
+
+	for range redirects {
+		address := c.target()
+		reply := new(SyncReply)
+
+		if err := c.invoke(ctx, address, syncMethod, request, reply); err != nil {
+			c.leave(address)
+
+			return nil, err
+		}
+
+		switch {
+		case !reply.Leader.IsValid() && reply.Lease > 0:
+			return reply, nil
+		case !reply.Leader.IsValid():
+			c.leave(address)
+
+			return nil, result.New(result.NoQuorum, "control process %s knows no leader", address)
+		}
+
+		c.follow(reply.Leader)
+	}
+
+	return nil, result.New(result.NotLeader, "the control processes name each other as leader")
+}
+
+// Deliver sends a call to the given control process.
+func (c *Client) Deliver(ctx context.Context, to netip.AddrPort, delivery *Delivery) (*Receipt, error) {
+	ctx, cancel := context.WithTimeout(ctx, DeliverTimeout)
+	defer cancel()
+
+	receipt := new(Receipt)
+	err := c.invoke(ctx, to, deliverMethod, delivery, receipt)
+
+	return receipt, err
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	for address := range c.conns {
+		c.drop(address)
+	}
+}
+
+func (c *Client) invoke(ctx context.Context, to netip.AddrPort, method string, request, reply any) error {
+	connection, err := c.connection(to)
+	if err != nil {
+		return err
+	}
+
+	err = connection.Invoke(ctx, prefix+method, request, reply, grpc.ForceCodec(codec{}))
+	if err != nil {
+		c.mutex.Lock()
+		if c.conns[to] == connection {
+			c.drop(to)
+		}
+		c.mutex.Unlock()
+	}
+
+	return eris.Wrapf(err, "call %s of control process %s", method, to)
+}
+
+func (c *Client) connection(to netip.AddrPort) (*grpc.ClientConn, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	if present := c.conns[to]; present != nil {
+		return present, nil
+	}
+
+	connection, err := c.options.Dial(to)
+	if err != nil {
+		return nil, err
+	}
+
+	c.conns[to] = connection
+
+	return connection, nil
+}
+
+// drop closes a connection. The mutex is held.
+func (c *Client) drop(address netip.AddrPort) {
+	if err := c.conns[address].Close(); err != nil {
+		c.options.Logger.Debug("connection to control did not close cleanly", "address", address, "error", err)
+	}
+
+	delete(c.conns, address)
+}
+
+func (c *Client) target() netip.AddrPort {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return c.present
+}
+
+func (c *Client) follow(leader netip.AddrPort) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	c.present = leader
+}
+
+// leave moves on to the control process after a failed one.
+func (c *Client) leave(failed netip.AddrPort) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	if c.present != failed || len(c.known) == 0 {
+		return
+	}
+
+	c.present = c.known[(slices.Index(c.known, failed)+1)%len(c.known)]
+}
--- /dev/null
+++ b/io/fleet/doc.go
@@ -0,0 +1,17 @@
+// Package fleet carries the calls between proxies and control in a deployment whose operator sends whole
+// configurations, and between the control processes.
+//
+// Each proxy calls Sync without a pause: the leader answers when it has something newer than what the proxy has
+// applied, or after a short hold. The call renews the proxy's lease, tells the leader what the proxy has applied and
+// which backend servers it reaches, and brings views. A control process that is not the leader names the leader.
+//
+// Deliver carries a call of a backend server or an operator, which may reach any control process, to the leader.
+//
+// Messages are CBOR over gRPC.
+//
+// # Usage
+//
+//	fleet.Register(server, service)
+//	client := fleet.NewClient(fleet.ClientOptions{Seeds: seeds, Dial: dial, Logger: logger})
+//	reply, err := client.Sync(ctx, request)
+package fleet
--- /dev/null
+++ b/io/fleet/service.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding"
+)
+
+// The names of the gRPC service and its methods.
+const (
+	serviceName   = "almondgrade.Fleet"
+	syncMethod    = "Sync"
+	deliverMethod = "Deliver"
+	prefix        = "/" + serviceName + "/"
+)
+
+// Service is implemented by a control process.
+type Service interface {
+	Sync(ctx context.Context, request *SyncRequest) (*SyncReply, error)
+	Deliver(ctx context.Context, delivery *Delivery) (*Receipt, error)
+}
+
+// codec encodes messages as CBOR.
+type codec struct{}
+
+// Marshal implements encoding.Codec.
+func (codec) Marshal(message any) ([]byte, error) {
+	encoded, err := cbor.Marshal(message)
+
+	return encoded, eris.Wrap(err, "encode message")
+}
+
+// Unmarshal implements encoding.Codec.
+func (codec) Unmarshal(data []byte, message any) error {
+	return eris.Wrap(cbor.Unmarshal(data, message), "decode message")
+}
+
+// Name implements encoding.Codec.
+func (codec) Name() string {
+	return "cbor"
+}
+
+// registerCodec makes the codec known to gRPC servers, which find it by the name that a call carries.
+//
+//nolint:gochecknoglobals // gRPC keeps codecs in a global table, which must not be changed twice.
+var registerCodec = sync.OnceFunc(func() { encoding.RegisterCodec(codec{}) })
+
+// Register adds the service to a gRPC server. Call it before the process makes its first gRPC call.
+func Register(registrar grpc.ServiceRegistrar, service Service) {
+	registerCodec()
+	registrar.RegisterService(&grpc.ServiceDesc{
+		ServiceName: serviceName,
+		HandlerType: (*Service)(nil),
+		Methods: []grpc.MethodDesc{
+			{MethodName: syncMethod, Handler: unary(Service.Sync)},
+			{MethodName: deliverMethod, Handler: unary(Service.Deliver)},
+		},
+	}, service)
+}
+
+// unary returns a gRPC handler for a method of the service.
+func unary[Q, R any](method func(Service, context.Context, *Q) (*R, error)) grpc.MethodHandler {
+	return func(service any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		request := new(Q)
+		if err := decode(request); err != nil {
+			return nil, err
+		}
+
+		implementation, valid := service.(Service)
+		if !valid {
+			return nil, eris.New("the registered service does not implement Service")
+		}
+
+		return method(implementation, ctx, request)
+	}
+}
