io/fleet: visit every control process after failures

Change: Learn keeps each address once. Ruled out: an election that came late (the log shows the new leader after 1.2 s) and a configuration not pushed (other proxies had it at once).

--- a/io/fleet/client.go
+++ b/io/fleet/client.go
@@ -56,11 +56,12 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
-	c.known = slices.Clone(control)
+	c.known = nil
 
-	for _, seed := range c.options.Seeds {
-		if !slices.Contains(c.known, seed) {
-			c.known = append(c.known, seed)
+	for _, address := range slices.Concat(control, c.options.Seeds) {
+		// An address that is listed twice would be followed by itself.
+		if !slices.Contains(c.known, address) {
+			c.known = append(c.known, address)
 		}
 	}
 
