--- a/internal/deployed/control.go
+++ b/internal/deployed/control.go
@@ -25,8 +25,13 @@
 	// snapshotEvery is the number of log entries after which the log is compacted. An entry may hold a configuration
 	// of 0.2 MB, and the data folder 64 MB.
 	snapshotEvery = 64
-	// connectTimeout bounds one attempt to connect to another process.
-	connectTimeout = time.Second
+	// connectTimeout bounds one attempt to connect to another process. Data centres are 2 ms apart.
+	connectTimeout = 300 * time.Millisecond
+	// heartbeat is the interval of the log's heartbeats and election the shortest time without a leader before an
+	// election: nothing is served before the first one after a restart of all processes. A sync of a slow disk takes
+	// 50 ms.
+	heartbeat = 60 * time.Millisecond
+	election  = 420 * time.Millisecond
 	// reconnectLeast and reconnectMost bound the pause between two attempts to connect.
 	reconnectLeast = 20 * time.Millisecond
 	reconnectMost  = 300 * time.Millisecond
@@ -84,7 +89,8 @@
 	group, err := consensus.New(consensus.Options{
 		Self:    consensus.Member{Name: options.Address.Addr().String(), Address: options.Address},
 		Initial: initial, Join: !options.First, Replace: true, Folder: options.Folder, Machine: state, Dial: dial,
-		Timer: clock, Logger: options.Logger, SnapshotEvery: snapshotEvery,
+		Timer: clock, Logger: options.Logger, SnapshotEvery: snapshotEvery, Heartbeat: heartbeat,
+		Election: election,
 	})
 	if err != nil {
 		_ = listener.Close()
--- a/internal/deployed/proxy.go
+++ b/internal/deployed/proxy.go
@@ -109,6 +109,7 @@
 
 		reply, err := client.Sync(ctx, &fleet.SyncRequest{
 			Proxy: p.options.Name, Instance: instance, Applied: version, Configuration: number, Sights: p.gateway.Sights(),
+			Demands: p.gateway.Demands(),
 		})
 		if err != nil {
 			if reached && ctx.Err() == nil {
@@ -138,6 +139,7 @@
 			client.Learn(reply.View.Control)
 		}
 
+		p.gateway.Grant(reply.Connections)
 		p.gateway.Extend(sent.Add(reply.Lease))
 	}
 
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -25,7 +25,7 @@
 	// confirmTimeout bounds one proof.
 	confirmTimeout = time.Second
 	// holdTime is the time for which a call of a proxy waits for something new.
-	holdTime = 400 * time.Millisecond
+	holdTime = 200 * time.Millisecond
 	// tickInterval is the time between two looks at silent servers and expired leases.
 	tickInterval = 100 * time.Millisecond
 	// proposeTimeout bounds a change of the log. Callers give up after a second.
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -12,6 +12,7 @@
 	"almondgrade/core/deployment"
 	"almondgrade/core/lease"
 	"almondgrade/core/result"
+	"almondgrade/core/share"
 	iofleet "almondgrade/io/fleet"
 )
 
@@ -60,6 +61,8 @@
 	index     uint64
 	changed   chan struct{}
 	stewards  container.Set[string]
+	// shares divide the connections of each server.
+	shares map[string]*share.Table
 }
 
 func newLeadership(c *Controller, term uint64) *leadership {
@@ -70,6 +73,7 @@
 		controller: c, term: term, ctx: ctx, cancel: cancel, began: now, leases: lease.New(now, leaseTime),
 		heard: make(map[string]heard), ended: make(map[string]heard), reports: make(map[string]report),
 		changed: make(chan struct{}), stewards: make(container.Set[string]),
+		shares: make(map[string]*share.Table),
 	}
 }
 
@@ -93,9 +97,7 @@
 		cancel()
 
 		if err == nil {
-			l.mutex.Lock()
-			l.confirmed = began
-			l.mutex.Unlock()
+			l.prove(began)
 		} else {
 			l.controller.options.Logger.Warn("leadership could not be confirmed", "term", l.term, "error", err)
 		}
@@ -104,6 +106,19 @@
 	}
 }
 
+// prove notes a proof of leadership. The first one releases the calls that wait for a lease.
+func (l *leadership) prove(began time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if l.confirmed.IsZero() {
+		close(l.changed)
+		l.changed = make(chan struct{})
+	}
+
+	l.confirmed = began
+}
+
 // pause waits. It is false if the context ended.
 func (l *leadership) pause(ctx context.Context, delay time.Duration) bool {
 	passed := make(chan struct{})
@@ -240,6 +255,7 @@
 	now := time.Now()
 	l.leases.Grant(now, holder, applied)
 	l.reports[request.Proxy] = report{at: now, sights: request.Sights}
+	granted := l.divide(now, request)
 	l.mutex.Unlock()
 
 	hold, cancel := context.WithTimeout(ctx, holdTime)
@@ -247,26 +263,65 @@
 
 	for {
 		reply, changed := l.reply(request)
-		if reply.View != nil || reply.Configuration != nil || hold.Err() != nil {
+		if reply.Lease > 0 && (reply.View != nil || reply.Configuration != nil || hold.Err() != nil) {
+			reply.Connections = granted
+
 			return reply, nil
 		}
 
 		select {
 		case <-changed:
 		case <-hold.Done():
+			if reply.Lease <= 0 {
+				return &iofleet.SyncReply{}, nil
+			}
 		case <-l.ctx.Done():
 			return &iofleet.SyncReply{}, nil
 		}
 	}
 }
 
+// divide returns the numbers of connections that a proxy may hold. The mutex is held.
+func (l *leadership) divide(now time.Time, request *iofleet.SyncRequest) map[string]int {
+	state := l.controller.options.State.View()
+	granted := make(map[string]int, len(request.Demands))
+
+	for id, demand := range request.Demands {
+		settings, known := groupSettings(state, state.Servers[id].Group)
+		if !known {
+			continue
+		}
+
+		limit := settings.Connections - share.Reserve
+		if l.shares[id] == nil {
+			l.shares[id] = share.New(limit, leaseTime)
+		}
+
+		l.shares[id].SetLimit(limit)
+		granted[id] = l.shares[id].Report(now, request.Proxy, demand)
+	}
+
+	return granted
+}
+
+// groupSettings returns the operator's settings for a group.
+func groupSettings(state *deployment.View, group string) (deployment.GroupSettings, bool) {
+	for _, settings := range state.Configuration.Groups {
+		if settings.Name == group {
+			return settings, true
+		}
+	}
+
+	return deployment.GroupSettings{}, false
+}
+
 // reply returns what is new for a proxy, and the channel that is closed when that changes.
 func (l *leadership) reply(request *iofleet.SyncRequest) (*iofleet.SyncReply, <-chan struct{}) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 
 	// The lease counts from the last proof of leadership.
-	reply := &iofleet.SyncReply{Lease: max(1, leaseTime-time.Since(l.confirmed))}
+	reply := &iofleet.SyncReply{Lease: leaseTime - time.Since(l.confirmed)}
 
 	if request.Applied != l.view.Version {
 		view := l.view
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -117,10 +117,8 @@
 	}
 
 	sync := 0
-	for _, settings := range view.Configuration.Groups {
-		if settings.Name == s.group && leader == "" {
-			sync = settings.SyncReplicas
-		}
+	if settings, known := groupSettings(view, s.group); known && leader == "" {
+		sync = settings.SyncReplicas
 	}
 
 	id, possible := takeover.Choose(candidates, len(replicas), sync)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -6,23 +6,25 @@
 	"time"
 
 	"almondgrade/core/result"
+	"almondgrade/core/share"
 )
 
 const (
-	// limitBackoff is the time for which a pool opens no connection after the server refused one for its limit.
-	limitBackoff = 500 * time.Millisecond
-	// surplusTime is the time after which an unused connection beyond the proxy's share is closed, so that other
-	// proxies can open one.
-	surplusTime = time.Second
-	// waitingLimit bounds the statements that wait for a connection to one server. A member works off as many within
+	// refusedPause is the time for which a pool opens no connection after the server refused one for its limit. It
+	// doubles up to refusedPauseMost. Connections of a VM that lost power stay open at a server for 3 s.
+	refusedPause     = 40 * time.Millisecond
+	refusedPauseMost = 320 * time.Millisecond
+	// idleTime is the time after which an unused connection is closed, so that others can open one.
+	idleTime = 20 * time.Second
+	// waitingLimit bounds the statements that wait for a connection to one server. A server works off as many within
 	// a statement's timeout.
-	waitingLimit = 256
+	waitingLimit = 128
 	// checkAfter is the time without use after which a connection is checked before it is used: a server that was
 	// restarted has closed it.
 	checkAfter = 200 * time.Millisecond
 )
 
-// waiter is a statement that waits for a connection. Its channel gets a connection, or nil if one may be opened.
+// waiter is a statement that waits for a connection. Its channel gets a connection, or nil if it is to try again.
 type waiter struct {
 	priority int
 	ready    chan *conn
@@ -37,23 +39,52 @@
 	// open counts all connections, including those that are being opened.
 	open    int
 	waiting []*waiter
-	// share is the number of connections that the proxy may always hold, limit the most that it tries to open.
-	share, limit int
-	// refused is the time at which the server last refused a connection for its limit.
-	refused time.Time
-	closed  bool
+	// limit is the number of connections that the proxy may hold. Until control has granted one it is an equal part.
+	limit   int
+	granted bool
+	// wanted is the greatest number of connections that could have been used at one moment since the last report.
+	wanted int
+	// pause is the present pause after a refusal, until its end.
+	pause  time.Duration
+	until  time.Time
+	closed bool
 }
 
-// size sets the limits from the operator's bound for the server and the number of proxies.
-func (p *pool) size(connections, proxies int) {
+// divide sets the limit to an equal part of what the server accepts, until control grants another one.
+func (p *pool) divide(connections, proxies int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	// Control keeps one connection and needs a second one when the first goes silent.
-	const reserve = 3
+	if !p.granted {
+		p.limit = max(1, (connections-share.Reserve)/max(1, proxies))
+	}
+}
+
+// grant sets the limit that control has granted.
+func (p *pool) grant(limit int) {
+	p.mutex.Lock()
+	p.limit, p.granted = max(1, limit), true
+	p.wake()
+	surplus := p.surplus(func(*conn) bool { return p.open > p.limit })
+	p.mutex.Unlock()
 
-	p.limit = max(1, connections-reserve)
-	p.share = max(1, p.limit/max(1, proxies))
+	closeAll(surplus)
+}
+
+// demand returns what the pool holds and wants, and begins a new period.
+func (p *pool) demand() share.Demand {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	demand := share.Demand{Open: p.open, Wanted: max(p.wanted, p.used())}
+	p.wanted = p.used()
+
+	return demand
+}
+
+// used returns the number of connections that are in use or waited for. The mutex is held.
+func (p *pool) used() int {
+	return p.open - len(p.idle) + len(p.waiting)
 }
 
 // get returns a connection, opens one, or waits for one. A lower priority number goes first.
@@ -64,14 +95,23 @@
 			return nil, err
 		}
 
-		if found == nil && waits != nil {
+		if waits != nil {
 			if found, err = p.await(waits, deadline); err != nil {
 				return nil, err
 			}
+
+			if found == nil {
+				continue
+			}
 		}
 
 		if found == nil {
-			return p.dial(deadline)
+			opened, err := p.dial(deadline)
+			if outcomeOf(err) == ConnectionLimit && time.Now().Before(deadline) {
+				continue
+			}
+
+			return opened, err
 		}
 
 		if now := time.Now(); now.Sub(found.used) < checkAfter || found.backend.Alive() {
@@ -87,6 +127,8 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
+	defer func() { p.wanted = max(p.wanted, p.used()) }()
+
 	if p.closed {
 		return nil, nil, result.New(result.ServerUnreachable, "server %s is gone", p.server.id)
 	}
@@ -95,16 +137,12 @@
 		return p.pick(session, values), nil, nil
 	}
 
-	if p.open < p.limit && (p.open < p.share || time.Since(p.refused) > limitBackoff) {
+	if p.open < p.limit && !time.Now().Before(p.until) {
 		p.open++
 
 		return nil, nil, nil
 	}
 
-	if p.open == 0 {
-		return nil, nil, result.New(result.NoPermit, "server %s has no connection to spare", p.server.id)
-	}
-
 	if len(p.waiting) >= waitingLimit {
 		return nil, nil, result.New(result.QueueFull, "%d statements wait for server %s", len(p.waiting), p.server.id)
 	}
@@ -121,7 +159,7 @@
 	return nil, waits, nil
 }
 
-// pick takes the idle connection that needs the least setup. The mutex is held.
+// pick takes the idle connection that needs the least setup, of those the one used last. The mutex is held.
 func (p *pool) pick(session uint64, values map[string]string) *conn {
 	best, rank := len(p.idle)-1, -1
 
@@ -148,17 +186,22 @@
 	return picked
 }
 
-// await waits for a connection. It returns nil without an error if the caller is to open one.
+// await waits for a connection. It returns nil without an error if the statement is to try again.
 func (p *pool) await(waits *waiter, deadline time.Time) (*conn, error) {
-	timer := time.NewTimer(time.Until(deadline))
+	until := deadline
+
+	p.mutex.Lock()
+	if p.open < p.limit {
+		// Only the pause after a refusal keeps the statement from opening a connection.
+		until = minTime(until, p.until)
+	}
+	p.mutex.Unlock()
+
+	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
 
 	select {
-	case given, isOpen := <-waits.ready:
-		if !isOpen {
-			return nil, result.New(result.ServerUnreachable, "server %s is gone", p.server.id)
-		}
-
+	case given := <-waits.ready:
 		return given, nil
 	case <-timer.C:
 	}
@@ -171,10 +214,12 @@
 	p.mutex.Unlock()
 
 	if at < 0 {
-		// The connection was handed over at the same moment.
-		if given, isOpen := <-waits.ready; isOpen {
-			return given, nil
-		}
+		// Something was handed over at the same moment.
+		return <-waits.ready, nil
+	}
+
+	if until.Before(deadline) {
+		return nil, nil
 	}
 
 	return nil, result.New(result.DeadlinePassed, "no connection to server %s was free in time", p.server.id)
@@ -183,23 +228,23 @@
 // dial opens a connection that take has counted.
 func (p *pool) dial(deadline time.Time) (*conn, error) {
 	opened, err := p.server.open(deadline)
-	if err == nil {
-		return opened, nil
-	}
 
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
+	if err == nil {
+		p.pause, p.until = 0, time.Time{}
+
+		return opened, nil
+	}
+
 	p.open--
 
 	if outcomeOf(err) == ConnectionLimit {
-		p.refused = time.Now()
-		// A waiter must not wait for a connection that nobody holds.
-		if p.open == 0 {
-			p.failWaiting()
-		}
+		p.pause = min(max(2*p.pause, refusedPause), refusedPauseMost)
+		p.until = time.Now().Add(p.pause)
 	} else {
-		p.wakeOne()
+		p.wake()
 	}
 
 	return nil, err
@@ -219,19 +264,25 @@
 	defer p.mutex.Unlock()
 
 	switch {
-	case p.closed:
+	case p.closed || p.open > p.limit:
 		p.open--
 
 		returned.backend.Close()
 	case len(p.waiting) > 0:
-		next := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		next.ready <- returned
+		p.next().ready <- returned
 	default:
 		p.idle = append(p.idle, returned)
 	}
 }
 
+// next takes the first waiter. The mutex is held.
+func (p *pool) next() *waiter {
+	first := p.waiting[0]
+	p.waiting = slices.Delete(p.waiting, 0, 1)
+
+	return first
+}
+
 // discard closes a connection.
 func (p *pool) discard(broken *conn) {
 	broken.backend.Close()
@@ -240,71 +291,64 @@
 	defer p.mutex.Unlock()
 
 	p.open--
-	p.wakeOne()
+	p.wake()
 }
 
-// wakeOne lets the first waiter open a connection. The mutex is held.
-func (p *pool) wakeOne() {
-	if len(p.waiting) == 0 || p.closed {
-		return
+// wake lets as many waiters try again as may open a connection. The mutex is held.
+func (p *pool) wake() {
+	for room := p.limit - p.open; (room > 0 || p.closed) && len(p.waiting) > 0; room-- {
+		p.next().ready <- nil
 	}
-
-	next := p.waiting[0]
-	p.waiting = p.waiting[1:]
-	p.open++
-	next.ready <- nil
 }
 
-// failWaiting ends the waiting of all. The mutex is held.
-func (p *pool) failWaiting() {
-	for _, waits := range p.waiting {
-		close(waits.ready)
-	}
+// surplus takes out the idle connections for which the condition holds. The mutex is held.
+func (p *pool) surplus(condition func(*conn) bool) []*conn {
+	var surplus []*conn
 
-	p.waiting = nil
+	p.idle = slices.DeleteFunc(p.idle, func(one *conn) bool {
+		if !condition(one) {
+			return false
+		}
+
+		p.open--
+		surplus = append(surplus, one)
+
+		return true
+	})
+
+	return surplus
 }
 
 // suspect closes the idle connections, because one of them went silent.
 func (p *pool) suspect() {
 	p.mutex.Lock()
-	idle := p.idle
-	p.idle = nil
-	p.open -= len(idle)
+	silent := p.surplus(func(*conn) bool { return true })
 	p.mutex.Unlock()
 
-	for _, one := range idle {
-		one.backend.Close()
-	}
+	closeAll(silent)
 }
 
-// trim closes connections beyond the share that were not used for some time.
+// trim closes connections that were not used for a long time.
 func (p *pool) trim(now time.Time) {
-	var surplus []*conn
-
 	p.mutex.Lock()
-	p.idle = slices.DeleteFunc(p.idle, func(one *conn) bool {
-		if p.open <= p.share || now.Sub(one.used) < surplusTime {
-			return false
-		}
-
-		p.open--
-		surplus = append(surplus, one)
-
-		return true
-	})
+	unused := p.surplus(func(one *conn) bool { return now.Sub(one.used) > idleTime })
 	p.mutex.Unlock()
 
-	for _, one := range surplus {
-		one.backend.Close()
-	}
+	closeAll(unused)
 }
 
 // close ends the pool. Connections in use are closed when they are returned.
 func (p *pool) close() {
 	p.mutex.Lock()
 	p.closed = true
-	p.failWaiting()
+	p.wake()
 	p.mutex.Unlock()
 
 	p.suspect()
 }
+
+func closeAll(connections []*conn) {
+	for _, one := range connections {
+		one.backend.Close()
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -27,6 +27,7 @@
 	id      string
 	info    atomic.Pointer[fleet.Server]
 	pool    *pool
+	gate    *gate
 	dial    Dialer
 	running atomic.Int64
 
@@ -40,12 +41,14 @@
 	failing time.Time
 	// answered is the time of the last answer.
 	answered time.Time
+	// usual is the moving mean of the time that answers take.
+	usual time.Duration
 }
 
 func newServer(info fleet.Server, dial Dialer) *server {
-	created := &server{id: info.ID, dial: dial}
+	created := &server{id: info.ID, dial: dial, gate: newGate()}
 	created.info.Store(&info)
-	created.pool = &pool{server: created, share: 1, limit: 1}
+	created.pool = &pool{server: created, limit: 1}
 
 	return created
 }
@@ -75,6 +78,51 @@
 	}
 }
 
+const (
+	// usualWeight is the weight of one answer in the moving mean, as a divisor.
+	usualWeight = 8
+	// patienceFactor is the multiple of the usual time after which an answer is taken for lost. Work varies by a factor
+	// of ten between statements.
+	patienceFactor = 10
+)
+
+// took notes the time that an answer took.
+func (s *server) took(duration time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.usual += (duration - s.usual) / usualWeight
+}
+
+// patience returns the time after which an answer to a read is taken for lost, between a third and three quarters of a
+// statement's timeout. A server that is overloaded answers late; a read that is given up then would be work done twice.
+func (s *server) patience(timeout time.Duration) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return min(max(patienceFactor*s.usual, timeout/3), timeout*3/4)
+}
+
+// mean returns the moving mean of the time that answers take.
+func (s *server) mean() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return s.usual
+}
+
+// unreachable reports whether the last attempts to use the server failed, the last one a moment ago.
+func (s *server) unreachable(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return !s.failing.IsZero() && now.Sub(s.failed) < failedPause
+}
+
+// failedPause is the time after a failure in which no further statement tries a primary that has no substitute. The
+// statements wait for the next attempt or for another primary.
+const failedPause = 100 * time.Millisecond
+
 // answer notes that the server answered.
 func (s *server) answer(now time.Time) {
 	s.mutex.Lock()
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -8,6 +8,7 @@
 	"almondgrade/core/deployment"
 	"almondgrade/core/freshness"
 	"almondgrade/core/position"
+	"almondgrade/core/share"
 	"almondgrade/io/fleet"
 )
 
@@ -167,7 +168,36 @@
 
 	for name, within := range next.groups {
 		for _, one := range within.servers {
-			one.pool.size(limits[name], next.control.Proxies)
+			one.pool.divide(limits[name], next.control.Proxies)
+		}
+	}
+}
+
+// Demands returns what the proxy holds and wants of each server's connections.
+func (g *Gateway) Demands() map[string]share.Demand {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	demands := make(map[string]share.Demand, len(g.servers))
+
+	for id, one := range g.servers {
+		// A server without connections or demand is left out.
+		if demand := one.pool.demand(); demand != (share.Demand{}) {
+			demands[id] = demand
+		}
+	}
+
+	return demands
+}
+
+// Grant sets the numbers of connections that control has granted.
+func (g *Gateway) Grant(connections map[string]int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
+	for id, limit := range connections {
+		if known := g.servers[id]; known != nil {
+			known.pool.grant(limit)
 		}
 	}
 }
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -15,9 +15,6 @@
 const (
 	// ageMargin is taken off the age that a pool permits, for the time between the decision and the read.
 	ageMargin = 20 * time.Millisecond
-	// silenceShare is the part of a statement's timeout after which a read without an answer is tried elsewhere, as a
-	// divisor. Open connections may go silent while new ones work.
-	silenceShare = 3
 	// attemptLimit bounds the attempts at one statement.
 	attemptLimit = 6
 	// takeoverWait bounds the time for which a statement waits for another primary. A promotion takes about a second.
@@ -157,23 +154,33 @@
 
 	present, changed := w.session.gateway.wait()
 
-	// The view may have changed since the decision.
-	if within := present.groups[w.pool.Group]; within == nil || within.Phase == deployment.Stable && within.primary != nil {
-		w.attempts--
+	within := present.groups[w.pool.Group]
+	if within == nil || !time.Now().Before(w.deadline) {
+		return false
+	}
+
+	// The statement has not been tried, so its wait is no attempt.
+	w.attempts--
 
-		return within != nil
+	wait := min(time.Until(w.deadline), takeoverWait)
+
+	if within.Phase == deployment.Stable && within.primary != nil {
+		if !within.primary.unreachable(time.Now()) {
+			// The view has changed since the decision.
+			return true
+		}
+
+		wait = min(wait, failedPause)
 	}
 
-	timer := time.NewTimer(min(time.Until(w.deadline), takeoverWait))
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 
 	select {
 	case <-changed:
-		w.attempts--
-
 		return true
 	case <-timer.C:
-		return false
+		return wait == failedPause
 	}
 }
 
@@ -207,6 +214,10 @@
 		return target{}, result.New(result.NoPrimary, "primary %s of group %s is gone", within.Primary, w.pool.Group)
 	}
 
+	if w.attempts > 1 && within.primary.unreachable(time.Now()) {
+		return target{}, &takeoverError{result.New(result.NoPrimary, "primary %s of group %s is not reached", within.Primary, w.pool.Group)}
+	}
+
 	now := gateway.options.Boot()
 
 	return target{server: within.primary, group: within, primary: true, leased: gateway.leased(now), now: now}, nil
@@ -318,19 +329,31 @@
 // attempt runs the command on a server. With begin, the connection is in a transaction of that kind before, and is
 // handed to the session.
 func (w *work) attempt(to target, begin *Command) (Answer, error) {
-	deadline := w.deadline
-	if !w.command.Writes {
-		deadline = minTime(deadline, time.Now().Add(w.pool.Timeout/silenceShare))
+	if err := to.server.gate.enter(to.server.id, w.latestStart(to.server), w.pool.Priority); err != nil {
+		return Answer{}, err
 	}
 
+	entered := time.Now()
+	refused := false
+
 	to.server.running.Add(1)
-	defer to.server.running.Add(-1)
 
-	used, err := to.server.pool.get(deadline, w.pool.Priority, w.session.number, w.session.values)
+	defer func() {
+		to.server.running.Add(-1)
+		to.server.gate.leave(time.Since(entered), refused)
+	}()
+
+	used, err := to.server.pool.get(w.deadline, w.pool.Priority, w.session.number, w.session.values)
 	if err != nil {
 		return Answer{}, err
 	}
 
+	// A read may run again elsewhere, so it leaves time for that.
+	deadline := w.deadline
+	if !w.command.Writes {
+		deadline = minTime(deadline, time.Now().Add(to.server.patience(w.pool.Timeout)))
+	}
+
 	used.session = w.session.number
 	commands := used.setup(w.session.values, w.needed)
 
@@ -342,7 +365,9 @@
 		last.After = to.after
 	}
 
+	began := time.Now()
 	answer, err := used.run(deadline, append(commands, last)...)
+	to.server.took(time.Since(began))
 
 	switch {
 	case errors.Is(err, errSetup):
@@ -362,6 +387,7 @@
 		return Answer{}, &lostError{err}
 	}
 
+	refused = answer.Outcome == Busy
 	w.learn(to, answer)
 
 	if begin != nil && answer.Outcome == Done {
@@ -380,6 +406,18 @@
 	return answer, nil
 }
 
+// latestStart returns the time by which the statement has to start: so that it is done within the pool's aim, counted
+// from this attempt, and before its deadline.
+func (w *work) latestStart(at *server) time.Time {
+	slack := max(w.pool.Aim-at.mean(), w.pool.Aim/minSlack)
+
+	return minTime(w.deadline, time.Now().Add(slack))
+}
+
+// minSlack is the part of the aim, as a divisor, for which a statement may wait even where the server is slower than the
+// aim.
+const minSlack = 4
+
 // learn notes what an answer shows of the server.
 func (w *work) learn(to target, answer Answer) {
 	now := time.Now()
--- a/io/fleet/message.go
+++ b/io/fleet/message.go
@@ -6,6 +6,7 @@
 
 	"almondgrade/core/deployment"
 	"almondgrade/core/result"
+	"almondgrade/core/share"
 )
 
 // Version identifies a view: the leadership that made it and its number in that leadership.
@@ -31,6 +32,8 @@
 	Applied       Version `cbor:"3,keyasint"`
 	Configuration uint64  `cbor:"4,keyasint"`
 	Sights        []Sight `cbor:"5,keyasint,omitempty"`
+	// Demands are the connections that the proxy holds and wants, by server.
+	Demands map[string]share.Demand `cbor:"7,keyasint,omitempty"`
 	// Stopping is true in the last call of a proxy, which holds no lease any more.
 	Stopping bool `cbor:"6,keyasint,omitempty"`
 }
@@ -61,6 +64,8 @@
 	View *View `cbor:"2,keyasint,omitempty"`
 	// Configuration is nil if the proxy has the present one. Its Document is empty.
 	Configuration *deployment.Configuration `cbor:"3,keyasint,omitempty"`
+	// Connections are the numbers of connections that the proxy may hold, by server.
+	Connections map[string]int `cbor:"5,keyasint,omitempty"`
 	// Leader is set in place of everything else by a process that does not lead but knows who does.
 	Leader netip.AddrPort `cbor:"4,keyasint,omitempty"`
 }
