internal/gateway: refuse statements that could not start in time

Statements waited in the pool and at the server until all were late, connections were given up while the server worked for them, and each new one cost 12 ms of a slot.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -14,8 +14,10 @@
 	prepared map[string]bool
 	// session is the session that used the connection last.
 	session uint64
-	used    time.Time
-	broken  bool
+	// taken is the time since which the connection is in use, used that at which its last use ended.
+	taken  time.Time
+	used   time.Time
+	broken bool
 }
 
 func newConn(backend Backend, to *server) *conn {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -19,6 +19,8 @@
 	// waitingLimit bounds the statements that wait for a connection to one server. A server works off as many within
 	// a statement's timeout.
 	waitingLimit = 128
+	// holdWeight is the weight of one use in the moving mean, as a divisor.
+	holdWeight = 16
 	// checkAfter is the time without use after which a connection is checked before it is used: a server that was
 	// restarted has closed it.
 	checkAfter = 200 * time.Millisecond
@@ -30,7 +32,11 @@
 	ready    chan *conn
 }
 
-// pool holds the connections to one server.
+// pool holds the connections to one server, and the statements that wait for one.
+//
+// The load that it answers: a primary that serves all reads of its group because its replicas are far behind, with half
+// as many slots as the load needs. Urgent statements go first, and a statement that could not start in time is refused
+// at once, so that those that are accepted are in time.
 type pool struct {
 	server *server
 
@@ -44,6 +50,8 @@
 	granted bool
 	// wanted is the greatest number of connections that could have been used at one moment since the last report.
 	wanted int
+	// hold is the moving mean of the time for which a connection is in use.
+	hold time.Duration
 	// pause is the present pause after a refusal, until its end.
 	pause  time.Duration
 	until  time.Time
@@ -87,10 +95,11 @@
 	return p.open - len(p.idle) + len(p.waiting)
 }
 
-// get returns a connection, opens one, or waits for one. A lower priority number goes first.
+// get returns a connection, opens one, or waits for one until the deadline. A lower priority number goes first. It fails
+// at once if none is expected to be free in time.
 func (p *pool) get(deadline time.Time, priority int, session uint64, values map[string]string) (*conn, error) {
 	for {
-		found, waits, err := p.take(priority, session, values)
+		found, waits, err := p.take(deadline, priority, session, values)
 		if err != nil {
 			return nil, err
 		}
@@ -123,7 +132,7 @@
 }
 
 // take returns an idle connection, or a waiter, or neither if the caller is to open a connection.
-func (p *pool) take(priority int, session uint64, values map[string]string) (*conn, *waiter, error) {
+func (p *pool) take(deadline time.Time, priority int, session uint64, values map[string]string) (*conn, *waiter, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
@@ -143,17 +152,21 @@
 		return nil, nil, nil
 	}
 
-	if len(p.waiting) >= waitingLimit {
-		return nil, nil, result.New(result.QueueFull, "%d statements wait for server %s", len(p.waiting), p.server.id)
-	}
-
-	waits := &waiter{priority: priority, ready: make(chan *conn, 1)}
 	at := len(p.waiting)
-
 	for at > 0 && p.waiting[at-1].priority > priority {
 		at--
 	}
 
+	if at >= waitingLimit {
+		return nil, nil, result.New(result.QueueFull, "%d statements wait for server %s", at, p.server.id)
+	}
+
+	if wait := p.hold * time.Duration(at+1) / time.Duration(max(1, p.open)); time.Now().Add(wait).After(deadline) {
+		return nil, nil, result.New(result.DeadlinePassed, "server %s has too much work; the expected wait is %s",
+			p.server.id, wait.Round(time.Millisecond))
+	}
+
+	waits := &waiter{priority: priority, ready: make(chan *conn, 1)}
 	p.waiting = slices.Insert(p.waiting, at, waits)
 
 	return nil, waits, nil
@@ -181,6 +194,7 @@
 	}
 
 	picked := p.idle[best]
+	picked.taken = time.Now()
 	p.idle = slices.Delete(p.idle, best, best+1)
 
 	return picked
@@ -234,6 +248,7 @@
 
 	if err == nil {
 		p.pause, p.until = 0, time.Time{}
+		opened.taken = time.Now()
 
 		return opened, nil
 	}
@@ -263,12 +278,15 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
+	p.hold += (returned.used.Sub(returned.taken) - p.hold) / holdWeight
+
 	switch {
 	case p.closed || p.open > p.limit:
 		p.open--
 
 		returned.backend.Close()
 	case len(p.waiting) > 0:
+		returned.taken = returned.used
 		p.next().ready <- returned
 	default:
 		p.idle = append(p.idle, returned)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -27,7 +27,6 @@
 	id      string
 	info    atomic.Pointer[fleet.Server]
 	pool    *pool
-	gate    *gate
 	dial    Dialer
 	running atomic.Int64
 
@@ -46,7 +45,7 @@
 }
 
 func newServer(info fleet.Server, dial Dialer) *server {
-	created := &server{id: info.ID, dial: dial, gate: newGate()}
+	created := &server{id: info.ID, dial: dial}
 	created.info.Store(&info)
 	created.pool = &pool{server: created, limit: 1}
 
@@ -103,14 +102,6 @@
 	return min(max(patienceFactor*s.usual, timeout/3), timeout*3/4)
 }
 
-// mean returns the moving mean of the time that answers take.
-func (s *server) mean() time.Duration {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-
-	return s.usual
-}
-
 // unreachable reports whether the last attempts to use the server failed, the last one a moment ago.
 func (s *server) unreachable(now time.Time) bool {
 	s.mutex.Lock()
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -329,21 +329,10 @@
 // attempt runs the command on a server. With begin, the connection is in a transaction of that kind before, and is
 // handed to the session.
 func (w *work) attempt(to target, begin *Command) (Answer, error) {
-	if err := to.server.gate.enter(to.server.id, w.latestStart(to.server), w.pool.Priority); err != nil {
-		return Answer{}, err
-	}
-
-	entered := time.Now()
-	refused := false
-
 	to.server.running.Add(1)
+	defer to.server.running.Add(-1)
 
-	defer func() {
-		to.server.running.Add(-1)
-		to.server.gate.leave(time.Since(entered), refused)
-	}()
-
-	used, err := to.server.pool.get(w.deadline, w.pool.Priority, w.session.number, w.session.values)
+	used, err := to.server.pool.get(w.latestStart(), w.pool.Priority, w.session.number, w.session.values)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -387,7 +376,6 @@
 		return Answer{}, &lostError{err}
 	}
 
-	refused = answer.Outcome == Busy
 	w.learn(to, answer)
 
 	if begin != nil && answer.Outcome == Done {
@@ -406,18 +394,16 @@
 	return answer, nil
 }
 
-// latestStart returns the time by which the statement has to start: so that it is done within the pool's aim, counted
-// from this attempt, and before its deadline.
-func (w *work) latestStart(at *server) time.Time {
-	slack := max(w.pool.Aim-at.mean(), w.pool.Aim/minSlack)
+// latestStart returns the time by which the statement has to start: within the pool's aim, counted from this attempt,
+// and before its deadline. A statement that starts later keeps others from being in time.
+func (w *work) latestStart() time.Time {
+	if w.pool.Aim <= 0 {
+		return w.deadline
+	}
 
-	return minTime(w.deadline, time.Now().Add(slack))
+	return minTime(w.deadline, time.Now().Add(w.pool.Aim))
 }
 
-// minSlack is the part of the aim, as a divisor, for which a statement may wait even where the server is slower than the
-// aim.
-const minSlack = 4
-
 // learn notes what an answer shows of the server.
 func (w *work) learn(to target, answer Answer) {
 	now := time.Now()
