--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -36,6 +36,7 @@
 		{"leader cut off", takeover.Evidence{Probes: failover.Dead, Sights: []takeover.Sight{reached, reached, failing}}, takeover.Keep},
 		{"short cut of proxies", takeover.Evidence{Sights: []takeover.Sight{failing, failing, reached}}, takeover.Keep},
 		{"one proxy cut off", takeover.Evidence{Sights: []takeover.Sight{lost, idle, idle}}, takeover.Keep},
+		{"crowded server", takeover.Evidence{Sights: []takeover.Sight{lost, lost, failing, failing, idle, idle, idle}}, takeover.Keep},
 		{"most proxies cut off", takeover.Evidence{Sights: []takeover.Sight{lost, lost, reached}}, takeover.Replace},
 		{"unsure", takeover.Evidence{Probes: failover.Unsure, Sights: []takeover.Sight{failing}}, takeover.Keep},
 	} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,8 +17,11 @@
 type Dialer func(deadline time.Time, server deployment.Server) (Backend, error)
 
 const (
-	// trimInterval is the time between two searches for surplus connections.
-	trimInterval = 500 * time.Millisecond
+	// tendInterval is the time between two looks at the connections to all servers.
+	tendInterval = 500 * time.Millisecond
+	// warmBatch is the number of first connections that are opened at each look. Each takes 12 ms of a server's slot, so
+	// that 100 proxies take a tenth of the slots of 24 servers.
+	warmBatch = 2
 	// retryShare is the part of the statements that may be repeated on another server, and retryFloor the number that
 	// is granted in a window without much traffic. A takeover makes each session repeat one statement.
 	retryShare = 0.3
@@ -70,7 +73,7 @@
 	}
 	created.view.Store(&view{})
 	created.lease.Store(&time.Time{})
-	created.stop = options.Timer.Every(trimInterval, created.trim)
+	created.stop = options.Timer.Every(tendInterval, created.tend)
 
 	return created
 }
@@ -169,11 +172,21 @@
 	}
 }
 
-func (g *Gateway) trim(now time.Time) {
+// tend closes connections that were not used for a long time and opens a first one to servers that have none, a few at a
+// time, so that the first statements after a start do not all open connections at once.
+func (g *Gateway) tend(now time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 
+	opening := 0
+
 	for _, one := range g.servers {
 		one.pool.trim(now)
+
+		if opening < warmBatch && !g.draining.Load() && one.pool.reserve() {
+			opening++
+
+			go one.pool.warm(now.Add(connectTimeout))
+		}
 	}
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -29,7 +29,18 @@
 // waiter is a statement that waits for a connection. Its channel gets a connection, or nil if it is to try again.
 type waiter struct {
 	priority int
-	ready    chan *conn
+	// start is the time by which the statement has to start.
+	start time.Time
+	ready chan *conn
+}
+
+// before reports whether a statement of a priority that has to start by a time goes before the waiter.
+func (w *waiter) before(priority int, start time.Time) bool {
+	if priority != w.priority {
+		return priority < w.priority
+	}
+
+	return start.Before(w.start)
 }
 
 // pool holds the connections to one server, and the statements that wait for one.
@@ -95,8 +106,8 @@
 	return p.open - len(p.idle) + len(p.waiting)
 }
 
-// get returns a connection, opens one, or waits for one until the deadline. A lower priority number goes first. It fails
-// at once if none is expected to be free in time.
+// get returns a connection, opens one, or waits for one until the deadline. A lower priority number goes first, and of
+// equal ones the earlier deadline. It fails at once if none is expected to be free in time.
 func (p *pool) get(deadline time.Time, priority int, session uint64, values map[string]string) (*conn, error) {
 	for {
 		found, waits, err := p.take(deadline, priority, session, values)
@@ -146,14 +157,16 @@
 		return p.pick(session, values), nil, nil
 	}
 
-	if p.open < p.limit && !time.Now().Before(p.until) {
+	// A server without room would take longer to open a connection than to free one that is open.
+	now := time.Now()
+	if p.open < p.limit && !now.Before(p.until) && (p.open == 0 || !p.server.crowded(now)) {
 		p.open++
 
 		return nil, nil, nil
 	}
 
 	at := len(p.waiting)
-	for at > 0 && p.waiting[at-1].priority > priority {
+	for at > 0 && p.waiting[at-1].before(priority, deadline) {
 		at--
 	}
 
@@ -161,12 +174,12 @@
 		return nil, nil, result.New(result.QueueFull, "%d statements wait for server %s", at, p.server.id)
 	}
 
-	if wait := p.hold * time.Duration(at+1) / time.Duration(max(1, p.open)); time.Now().Add(wait).After(deadline) {
+	if wait := p.hold * time.Duration(at+1) / time.Duration(max(1, p.open)); now.Add(wait).After(deadline) {
 		return nil, nil, result.New(result.DeadlinePassed, "server %s has too much work; the expected wait is %s",
 			p.server.id, wait.Round(time.Millisecond))
 	}
 
-	waits := &waiter{priority: priority, ready: make(chan *conn, 1)}
+	waits := &waiter{priority: priority, start: deadline, ready: make(chan *conn, 1)}
 	p.waiting = slices.Insert(p.waiting, at, waits)
 
 	return nil, waits, nil
@@ -206,8 +219,8 @@
 
 	p.mutex.Lock()
 	if p.open < p.limit {
-		// Only the pause after a refusal keeps the statement from opening a connection.
-		until = minTime(until, p.until)
+		// Only a pause keeps the statement from opening a connection.
+		until = minTime(until, laterTime(p.until, time.Now().Add(crowdedTime)))
 	}
 	p.mutex.Unlock()
 
@@ -346,10 +359,32 @@
 	closeAll(silent)
 }
 
-// trim closes connections that were not used for a long time.
+// reserve counts a first connection that warm is to open, if there is none and nothing speaks against it.
+func (p *pool) reserve() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	now := time.Now()
+	if p.open > 0 || p.closed || now.Before(p.until) || p.server.unreachable(now) {
+		return false
+	}
+
+	p.open++
+
+	return true
+}
+
+// warm opens the connection that reserve has counted. Its failure is noted by the server.
+func (p *pool) warm(deadline time.Time) {
+	if opened, err := p.dial(deadline); err == nil {
+		p.put(opened)
+	}
+}
+
+// trim closes connections that were not used for a long time, but for one.
 func (p *pool) trim(now time.Time) {
 	p.mutex.Lock()
-	unused := p.surplus(func(one *conn) bool { return now.Sub(one.used) > idleTime })
+	unused := p.surplus(func(one *conn) bool { return p.open > 1 && now.Sub(one.used) > idleTime })
 	p.mutex.Unlock()
 
 	closeAll(unused)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,11 +15,13 @@
 	// connectTimeout bounds the opening of a connection. A server that takes no connection for so long is taken for
 	// unreachable by the request, which goes elsewhere or is refused.
 	connectTimeout = 500 * time.Millisecond
-	// lagDecay is the time in which the estimate of a replica's lag halves, so that a replica that was far behind is
-	// tried again.
-	lagDecay = time.Second
+	// lagProbe is the time after which a replica that was behind is tried again. It refuses a read that it can't serve
+	// without work, and tells its position.
+	lagProbe = 250 * time.Millisecond
 	// lagMargin is added to the lag that an answer showed, because the lag varies from commit to commit.
 	lagMargin = 30 * time.Millisecond
+	// lagWeight is the weight of a smaller lag in the estimate, as a divisor. A greater one replaces the estimate.
+	lagWeight = 4
 )
 
 // server is a backend server with what the gateway learned of it.
@@ -31,7 +33,7 @@
 	running atomic.Int64
 
 	mutex sync.Mutex
-	// lag estimates how far the server's log is behind the primary's, as of the time lagAt.
+	// lag estimates how far the server's log is behind the primary's; it was observed, or put to the test, at lagAt.
 	lag   time.Duration
 	lagAt time.Time
 	held  position.Position
@@ -40,6 +42,8 @@
 	failing time.Time
 	// answered is the time of the last answer.
 	answered time.Time
+	// full is the time of the last answer that the server had no room.
+	full time.Time
 	// usual is the moving mean of the time that answers take.
 	usual time.Duration
 }
@@ -110,6 +114,26 @@
 	return !s.failing.IsZero() && now.Sub(s.failed) < failedPause
 }
 
+// crowdedTime is the time for which a server is taken to have no room after it said so. It works off its queue in about
+// as much.
+const crowdedTime = 100 * time.Millisecond
+
+// crowd notes that the server had no room.
+func (s *server) crowd(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.full = now
+}
+
+// crowded reports whether the server had no room a moment ago.
+func (s *server) crowded(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return now.Sub(s.full) < crowdedTime
+}
+
 // failedPause is the time after a failure in which no further statement tries a primary that has no substitute. The
 // statements wait for the next attempt or for another primary.
 const failedPause = 100 * time.Millisecond
@@ -136,29 +160,30 @@
 		lag += lagMargin
 	}
 
-	if decayed := s.estimate(now); lag > decayed {
-		s.lag, s.lagAt = lag, now
-	} else if s.lagAt.IsZero() || now.Sub(s.lagAt) > lagDecay {
-		s.lag, s.lagAt = max(lag, decayed), now
+	if lag < s.lag {
+		lag = s.lag + (lag-s.lag)/lagWeight
 	}
-}
 
-// estimate returns the present estimate of the lag. The mutex is held.
-func (s *server) estimate(now time.Time) time.Duration {
-	lag := s.lag
-	for passed := now.Sub(s.lagAt); passed > lagDecay && lag > 0; passed -= lagDecay {
-		lag /= 2
-	}
-
-	return lag
+	s.lag, s.lagAt = lag, now
 }
 
-// covers reports whether the server's log is expected to hold a position that the primary passed some time ago.
+// covers reports whether the server's log is expected to hold a position that the primary passed some time ago. A
+// replica that was behind is tried again from time to time.
 func (s *server) covers(now time.Time, floor position.Position, passed time.Duration) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	return !s.held.Less(floor) || passed >= s.estimate(now)
+	if !s.held.Less(floor) || passed >= s.lag {
+		return true
+	}
+
+	if now.Sub(s.lagAt) < lagProbe {
+		return false
+	}
+
+	s.lagAt = now
+
+	return true
 }
 
 // describe returns the server for a routing decision.
@@ -203,6 +228,14 @@
 	return Done
 }
 
+func laterTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+
+	return b
+}
+
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -28,8 +28,13 @@
 	command  Command
 	needed   *prepared
 	deadline time.Time
+	// began is the time of the first attempt.
+	began    time.Time
 	attempts int
-	avoid    []string
+	// crowds counts the attempts that found a server without room, refused is true if the last one did.
+	crowds  int
+	refused bool
+	avoid   []string
 	// reason is the last failure.
 	reason error
 }
@@ -107,11 +112,17 @@
 
 // again reports whether another attempt may be made, and waits before it.
 func (w *work) again() bool {
-	w.attempts++
-	if w.attempts == 1 {
+	if w.attempts == 0 {
+		w.attempts, w.began = 1, time.Now()
+
 		return true
 	}
 
+	if w.refused {
+		return w.crowded()
+	}
+
+	w.attempts++
 	if w.attempts > attemptLimit || !w.session.gateway.budget.Retry(time.Now()) {
 		return false
 	}
@@ -132,6 +143,50 @@
 	return true
 }
 
+// crowded waits before another attempt at a server that had no room, as long as the statement can start in time. The
+// server refused it without work, so that this costs no retry budget. Urgent statements come back sooner, and so find
+// room before others.
+func (w *work) crowded() bool {
+	pause := crowdedDelay(w.crowds, w.pool.Priority <= urgentPriority, rand.Float64())
+	w.crowds++
+
+	if time.Now().Add(pause).After(w.latestStart()) {
+		return false
+	}
+
+	time.Sleep(pause)
+	w.session.gateway.count("crowded")
+
+	return true
+}
+
+// crowdedDelay returns the pause after a number of attempts that found no room. The random number is uniform in [0, 1).
+func crowdedDelay(attempts int, urgent bool, random float64) time.Duration {
+	most := crowdedPauseMost
+	if urgent {
+		most = crowdedPauseUrgent
+	}
+
+	limit := crowdedPause
+	for ; attempts > 0 && limit < most; attempts-- {
+		limit *= 2
+	}
+
+	limit = min(limit, most)
+
+	return limit/2 + time.Duration(random*float64(limit/2))
+}
+
+const (
+	// crowdedPause is the greatest first pause before another attempt at a server that had no room; it doubles up to
+	// crowdedPauseMost, or crowdedPauseUrgent for urgent pools. A server works off its queue in about 0.1 s.
+	crowdedPause       = 8 * time.Millisecond
+	crowdedPauseMost   = 60 * time.Millisecond
+	crowdedPauseUrgent = 16 * time.Millisecond
+	// urgentPriority is the greatest priority number of urgent pools.
+	urgentPriority = 1
+)
+
 // give returns the reply after the last attempt.
 func (w *work) give() Reply {
 	if w.reason == nil {
@@ -160,7 +215,8 @@
 	}
 
 	// The statement has not been tried, so its wait is no attempt.
-	w.attempts--
+	w.attempts = max(0, w.attempts-1)
+	w.refused = false
 
 	wait := min(time.Until(w.deadline), takeoverWait)
 
@@ -394,23 +450,22 @@
 	return answer, nil
 }
 
-// latestStart returns the time by which the statement has to start: within the pool's aim, counted from this attempt,
-// and before its deadline. A statement that starts later keeps others from being in time.
+// latestStart returns the time by which the statement has to start: within the pool's aim, counted from its arrival or
+// from the end of the last takeover that it waited for, and before its deadline. A statement that starts later keeps
+// others from being in time.
 func (w *work) latestStart() time.Time {
 	if w.pool.Aim <= 0 {
 		return w.deadline
 	}
 
-	return minTime(w.deadline, time.Now().Add(w.pool.Aim))
+	return minTime(w.deadline, w.began.Add(w.pool.Aim))
 }
 
 // learn notes what an answer shows of the server.
 func (w *work) learn(to target, answer Answer) {
 	now := time.Now()
 
-	if answer.Outcome != Busy {
-		to.server.answer(now)
-	}
+	to.server.answer(now)
 
 	if answer.Outcome != Done && answer.Outcome != Behind {
 		return
@@ -431,7 +486,14 @@
 
 // failed notes why an attempt failed.
 func (w *work) failed(to target, answer Answer, err error) {
-	w.avoid = append(w.avoid, to.server.id)
+	w.refused = err == nil && answer.Outcome == Busy
+	if w.refused {
+		to.server.crowd(time.Now())
+	}
+
+	if !w.refused || !to.primary {
+		w.avoid = append(w.avoid, to.server.id)
+	}
 
 	var lost *lostError
 
