--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -109,6 +109,17 @@
 	return answers[0], nil
 }
 
+// settle makes a connection usable for others after an answer that left it in a state. Opening another one would cost
+// the server more than a rollback.
+func (c *conn) settle(state State) {
+	if state == Idle || c.broken {
+		return
+	}
+
+	answer, err := c.run(time.Now().Add(rollbackTimeout), Command{Statement: Statement{Kind: Rollback}})
+	c.broken = c.broken || err != nil || answer.Outcome != Done || answer.State != Idle
+}
+
 // errSetup is returned with the answer of a setup command that failed.
 var errSetup = eris.New("the connection could not be given the state of the session")
 
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -297,13 +297,7 @@
 		return
 	}
 
-	used := s.tx.conn
-
-	if !used.broken {
-		answer, err := used.run(time.Now().Add(rollbackTimeout), Command{Statement: Statement{Kind: Rollback}})
-		used.broken = used.broken || err != nil || answer.Outcome != Done || answer.State != Idle
-	}
-
+	s.tx.conn.settle(Open)
 	s.release(false)
 }
 
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -416,15 +416,16 @@
 
 	switch {
 	case errors.Is(err, errSetup):
-		// The connection may be half prepared, or in a transaction.
-		used.broken = true
+		used.settle(answer.State)
 		to.server.pool.put(used)
+		to.server.answer(time.Now())
 
-		if begin != nil && answer.Outcome != Done {
-			return answer, nil
+		// Setup is refused for lack of room, or because of what the server has become; the statement did not run.
+		if answer.Outcome.Ran() {
+			answer.Outcome = Busy
 		}
 
-		return Answer{Outcome: Busy, Detail: "the connection could not be set up: " + answer.Detail}, nil
+		return answer, nil
 	case err != nil:
 		to.server.pool.put(used)
 		to.server.fail(time.Now())
@@ -440,11 +441,8 @@
 		return answer, nil
 	}
 
-	if begin != nil {
-		// The transaction ends with its connection.
-		used.broken = true
-	}
-
+	// A transaction whose first statement failed ends here; another one may begin elsewhere.
+	used.settle(answer.State)
 	to.server.pool.put(used)
 
 	return answer, nil
