internal/gateway, internal/fleet: recover sooner and start statements in time for their aim

From 8 to 24 s a primary that serves all reads of lagging replicas was kept full, and its statements started within the aim but ended after it.

Change: the first election timeout after a start is a third; a control process without a leader holds a proxy's call until there is one; the leader passes on the positions that its probes see, dated so that they are never too young; a statement has to start early enough for the server's usual time; at a server without room a proxy has no more than its part of three statements a slot.

Ruled out: the disk (the log is read 20 ms after the start) and CONNLIMIT (no connection of killed processes is left).

--- a/core/replog/node.go
+++ b/core/replog/node.go
@@ -173,10 +173,16 @@
 
 	node.stable = node.log.last()
 	node.draw()
+	// After a restart of all members nothing is served before the first election. If only this one was restarted, the
+	// others hear a leader and refuse the early one.
+	node.timeout = max(1, node.timeout/firstElectionShare)
 
 	return node, nil
 }
 
+// firstElectionShare is the part of an election timeout, as a divisor, that passes before the first election.
+const firstElectionShare = 3
+
 // draw chooses the next election timeout at random, so that members seldom start elections together.
 func (n *Node) draw() {
 	n.elapsed = 0
--- a/internal/deployed/proxy.go
+++ b/internal/deployed/proxy.go
@@ -17,7 +17,7 @@
 const (
 	// syncPause is the pause after a failed call of control. It doubles up to syncPauseMost.
 	syncPause     = 20 * time.Millisecond
-	syncPauseMost = 300 * time.Millisecond
+	syncPauseMost = 100 * time.Millisecond
 	// rotationTime is the time after which a proxy that reports not ready gets no new callers: two probes of a second
 	// each, and some delay.
 	rotationTime = 2300 * time.Millisecond
@@ -140,6 +140,12 @@
 		}
 
 		p.gateway.Grant(reply.Connections)
+
+		// The answer was sent after the request, so that the ages count from a moment that is early enough.
+		for group, seen := range reply.Positions {
+			p.gateway.Observe(group, sent.Add(-seen.Age), seen.Position)
+		}
+
 		p.gateway.Extend(sent.Add(reply.Lease))
 	}
 
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -179,12 +179,26 @@
 		return present.sync(ctx, request)
 	}
 
-	_, leader, self := c.options.Log.Leader()
-	if self {
-		leader = netip.AddrPort{}
-	}
+	return &iofleet.SyncReply{Leader: c.leader(ctx)}, nil
+}
 
-	return &iofleet.SyncReply{Leader: leader}, nil
+// leader returns the address of the leader. While none is known it waits a moment for one.
+func (c *Controller) leader(ctx context.Context) netip.AddrPort {
+	ctx, cancel := context.WithTimeout(ctx, holdTime)
+	defer cancel()
+
+	for {
+		changed := c.options.Log.Changed()
+		if _, leader, self := c.options.Log.Leader(); leader.IsValid() || self {
+			return leader
+		}
+
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return netip.AddrPort{}
+		}
+	}
 }
 
 // Deliver implements iofleet.Service.
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -11,6 +11,7 @@
 	"almondgrade/core/container"
 	"almondgrade/core/deployment"
 	"almondgrade/core/lease"
+	"almondgrade/core/position"
 	"almondgrade/core/result"
 	"almondgrade/core/share"
 	iofleet "almondgrade/io/fleet"
@@ -23,6 +24,8 @@
 	// forgetTime is the time after which a silent server is removed. It exceeds the time for which members and VMs are
 	// usually away, so that a server that returns is known.
 	forgetTime = 12 * time.Second
+	// positionTime is the age up to which a position of a primary is passed on.
+	positionTime = 2 * time.Second
 	// sightTime is the age up to which a proxy's report counts.
 	sightTime = 1500 * time.Millisecond
 )
@@ -63,6 +66,14 @@
 	stewards  container.Set[string]
 	// shares divide the connections of each server.
 	shares map[string]*share.Table
+	// positions are the last positions of the primaries, by group.
+	positions map[string]sighting
+}
+
+// sighting is a position of a primary and the time at which the question for it was sent.
+type sighting struct {
+	position position.Position
+	at       time.Time
 }
 
 func newLeadership(c *Controller, term uint64) *leadership {
@@ -73,7 +84,7 @@
 		controller: c, term: term, ctx: ctx, cancel: cancel, began: now, leases: lease.New(now, leaseTime),
 		heard: make(map[string]heard), ended: make(map[string]heard), reports: make(map[string]report),
 		changed: make(chan struct{}), stewards: make(container.Set[string]),
-		shares: make(map[string]*share.Table),
+		shares: make(map[string]*share.Table), positions: make(map[string]sighting),
 	}
 }
 
@@ -281,6 +292,14 @@
 	}
 }
 
+// see notes a position of a group's primary.
+func (l *leadership) see(group string, seen sighting) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	l.positions[group] = seen
+}
+
 // divide returns the numbers of connections that a proxy may hold. The mutex is held.
 func (l *leadership) divide(now time.Time, request *iofleet.SyncRequest) map[string]int {
 	state := l.controller.options.State.View()
@@ -323,6 +342,15 @@
 	// The lease counts from the last proof of leadership.
 	reply := &iofleet.SyncReply{Lease: leaseTime - time.Since(l.confirmed)}
 
+	now := time.Now()
+	reply.Positions = make(map[string]iofleet.Seen, len(l.positions))
+
+	for group, seen := range l.positions {
+		if age := now.Sub(seen.at); age < positionTime {
+			reply.Positions[group] = iofleet.Seen{Position: seen.position, Age: age}
+		}
+	}
+
 	if request.Applied != l.view.Version {
 		view := l.view
 		reply.View = &view
--- a/internal/fleet/steward.go
+++ b/internal/fleet/steward.go
@@ -101,7 +101,13 @@
 	evidence := takeover.Evidence{Probes: failover.Dead}
 
 	if known {
+		asked := time.Now()
 		seen := s.look(primary)
+
+		if seen.primary {
+			s.leadership.see(s.group, sighting{position: seen.position, at: asked})
+		}
+
 		if seen.answered && !seen.primary && !seen.busy {
 			// It lost the lead without an order of this group's log; another server may have it.
 			s.adopt(view, group)
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -16,6 +16,9 @@
 	refusedPauseMost = 320 * time.Millisecond
 	// idleTime is the time after which an unused connection is closed, so that others can open one.
 	idleTime = 20 * time.Second
+	// fairFactor is the number of statements for each slot that all proxies together may have at a server without room.
+	// With fewer, slots would be free between two statements.
+	fairFactor = 3
 	// waitingLimit bounds the statements that wait for a connection to one server. A server works off as many within
 	// a statement's timeout.
 	waitingLimit = 128
@@ -61,6 +64,8 @@
 	granted bool
 	// wanted is the greatest number of connections that could have been used at one moment since the last report.
 	wanted int
+	// fair is the number of statements that the proxy may have at the server while that has no room for more.
+	fair int64
 	// hold is the moving mean of the time for which a connection is in use.
 	hold time.Duration
 	// pause is the present pause after a refusal, until its end.
@@ -74,6 +79,8 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
+	p.fair = max(1, int64(fairFactor*p.server.info.Load().Slots/max(1, proxies)))
+
 	if !p.granted {
 		p.limit = max(1, (connections-share.Reserve)/max(1, proxies))
 	}
@@ -153,13 +160,14 @@
 		return nil, nil, result.New(result.ServerUnreachable, "server %s is gone", p.server.id)
 	}
 
-	if len(p.idle) > 0 {
+	now := time.Now()
+
+	if len(p.idle) > 0 && p.admits(now) {
 		return p.pick(session, values), nil, nil
 	}
 
 	// A server without room would take longer to open a connection than to free one that is open.
-	now := time.Now()
-	if p.open < p.limit && !now.Before(p.until) && (p.open == 0 || !p.server.crowded(now)) {
+	if len(p.idle) == 0 && p.open < p.limit && !now.Before(p.until) && (p.open == 0 || !p.server.crowded(now)) {
 		p.open++
 
 		return nil, nil, nil
@@ -185,6 +193,29 @@
 	return nil, waits, nil
 }
 
+// admits reports whether one more statement may go to the server now. The mutex is held.
+func (p *pool) admits(now time.Time) bool {
+	return p.server.running.Load() < p.fair || !p.server.crowded(now)
+}
+
+// nudge hands idle connections to waiters after a statement has ended.
+func (p *pool) nudge() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+
+	for now := time.Now(); len(p.waiting) > 0 && len(p.idle) > 0 && p.admits(now); {
+		last := len(p.idle) - 1
+		given := p.idle[last]
+		p.idle = p.idle[:last]
+		given.taken = now
+		p.next().ready <- given
+
+		if p.server.crowded(now) {
+			return // The waiter's statement is not counted yet.
+		}
+	}
+}
+
 // pick takes the idle connection that needs the least setup, of those the one used last. The mutex is held.
 func (p *pool) pick(session uint64, values map[string]string) *conn {
 	best, rank := len(p.idle)-1, -1
@@ -218,7 +249,7 @@
 	until := deadline
 
 	p.mutex.Lock()
-	if p.open < p.limit {
+	if p.open < p.limit || len(p.idle) > 0 {
 		// Only a pause keeps the statement from opening a connection.
 		until = minTime(until, laterTime(p.until, time.Now().Add(crowdedTime)))
 	}
@@ -298,7 +329,7 @@
 		p.open--
 
 		returned.backend.Close()
-	case len(p.waiting) > 0:
+	case len(p.waiting) > 0 && p.admits(returned.used):
 		returned.taken = returned.used
 		p.next().ready <- returned
 	default:
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -106,6 +106,20 @@
 	return min(max(patienceFactor*s.usual, timeout/3), timeout*3/4)
 }
 
+// mean returns the moving mean of the time that answers take.
+func (s *server) mean() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return s.usual
+}
+
+// end notes that a statement ended.
+func (s *server) end() {
+	s.running.Add(-1)
+	s.pool.nudge()
+}
+
 // unreachable reports whether the last attempts to use the server failed, the last one a moment ago.
 func (s *server) unreachable(now time.Time) bool {
 	s.mutex.Lock()
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -193,7 +193,7 @@
 
 	s.tx.server.running.Add(1)
 	answer, err := used.run(deadline, append(commands, command)...)
-	s.tx.server.running.Add(-1)
+	s.tx.server.end()
 
 	for pause := busyPause; err == nil && answer.Outcome == Busy && answer.State == Open; pause *= 2 {
 		// The statement did not run and the transaction is open: it waits for room.
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -202,6 +202,13 @@
 	}
 }
 
+// Observe notes a position of a group's primary: it covers every commit that was acknowledged before a boot time.
+func (g *Gateway) Observe(group string, at time.Time, seen position.Position) {
+	if known := g.view.Load().groups[group]; known != nil {
+		known.track.observe(at, seen)
+	}
+}
+
 // wait returns the present view and a channel that is closed when it changes.
 func (g *Gateway) wait() (*view, <-chan struct{}) {
 	g.mutex.Lock()
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -31,9 +31,9 @@
 	// began is the time of the first attempt.
 	began    time.Time
 	attempts int
-	// crowds counts the attempts that found a server without room, refused is true if the last one did.
+	// crowds counts the attempts that found a server without room, crowded is the server if the last one did.
 	crowds  int
-	refused bool
+	crowded *server
 	avoid   []string
 	// reason is the last failure.
 	reason error
@@ -118,8 +118,8 @@
 		return true
 	}
 
-	if w.refused {
-		return w.crowded()
+	if w.crowded != nil {
+		return w.pauseCrowded()
 	}
 
 	w.attempts++
@@ -143,14 +143,14 @@
 	return true
 }
 
-// crowded waits before another attempt at a server that had no room, as long as the statement can start in time. The
+// pauseCrowded waits before another attempt at a server that had no room, as long as the statement can start in time. The
 // server refused it without work, so that this costs no retry budget. Urgent statements come back sooner, and so find
 // room before others.
-func (w *work) crowded() bool {
+func (w *work) pauseCrowded() bool {
 	pause := crowdedDelay(w.crowds, w.pool.Priority <= urgentPriority, rand.Float64())
 	w.crowds++
 
-	if time.Now().Add(pause).After(w.latestStart()) {
+	if time.Now().Add(pause).After(w.latestStart(w.crowded)) {
 		return false
 	}
 
@@ -216,7 +216,7 @@
 
 	// The statement has not been tried, so its wait is no attempt.
 	w.attempts = max(0, w.attempts-1)
-	w.refused = false
+	w.crowded = nil
 
 	wait := min(time.Until(w.deadline), takeoverWait)
 
@@ -385,14 +385,14 @@
 // attempt runs the command on a server. With begin, the connection is in a transaction of that kind before, and is
 // handed to the session.
 func (w *work) attempt(to target, begin *Command) (Answer, error) {
-	to.server.running.Add(1)
-	defer to.server.running.Add(-1)
-
-	used, err := to.server.pool.get(w.latestStart(), w.pool.Priority, w.session.number, w.session.values)
+	used, err := to.server.pool.get(w.latestStart(to.server), w.pool.Priority, w.session.number, w.session.values)
 	if err != nil {
 		return Answer{}, err
 	}
 
+	to.server.running.Add(1)
+	defer to.server.end()
+
 	// A read may run again elsewhere, so it leaves time for that.
 	deadline := w.deadline
 	if !w.command.Writes {
@@ -448,17 +448,21 @@
 	return answer, nil
 }
 
-// latestStart returns the time by which the statement has to start: within the pool's aim, counted from its arrival or
-// from the end of the last takeover that it waited for, and before its deadline. A statement that starts later keeps
-// others from being in time.
-func (w *work) latestStart() time.Time {
+// latestStart returns the time by which the statement has to start at a server: so that it is done within the pool's
+// aim, counted from its arrival, by the time that the server usually takes, and before its deadline. A statement that
+// starts later keeps others from being in time.
+func (w *work) latestStart(at *server) time.Time {
 	if w.pool.Aim <= 0 {
 		return w.deadline
 	}
 
-	return minTime(w.deadline, w.began.Add(w.pool.Aim))
+	return minTime(w.deadline, w.began.Add(max(w.pool.Aim-at.mean(), w.pool.Aim/aimShare)))
 }
 
+// aimShare is the part of the aim, as a divisor, for which a statement may wait even where the server takes longer than
+// the aim.
+const aimShare = 3
+
 // learn notes what an answer shows of the server.
 func (w *work) learn(to target, answer Answer) {
 	now := time.Now()
@@ -484,12 +488,14 @@
 
 // failed notes why an attempt failed.
 func (w *work) failed(to target, answer Answer, err error) {
-	w.refused = err == nil && answer.Outcome == Busy
-	if w.refused {
+	w.crowded = nil
+
+	if err == nil && answer.Outcome == Busy {
+		w.crowded = to.server
 		to.server.crowd(time.Now())
 	}
 
-	if !w.refused || !to.primary {
+	if w.crowded == nil || !to.primary {
 		w.avoid = append(w.avoid, to.server.id)
 	}
 
--- a/io/fleet/message.go
+++ b/io/fleet/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondgrade/core/deployment"
+	"almondgrade/core/position"
 	"almondgrade/core/result"
 	"almondgrade/core/share"
 )
@@ -56,6 +57,12 @@
 	Control []netip.AddrPort `cbor:"5,keyasint"`
 }
 
+// Seen is a position of a primary's log. It covers every commit that was acknowledged Age before the answer was sent.
+type Seen struct {
+	Position position.Position `cbor:"1,keyasint"`
+	Age      time.Duration     `cbor:"2,keyasint"`
+}
+
 // SyncReply is the leader's answer.
 type SyncReply struct {
 	// Lease is the duration of the proxy's lease, counted from the moment at which it sent the request.
@@ -66,6 +73,8 @@
 	Configuration *deployment.Configuration `cbor:"3,keyasint,omitempty"`
 	// Connections are the numbers of connections that the proxy may hold, by server.
 	Connections map[string]int `cbor:"5,keyasint,omitempty"`
+	// Positions are what the leader has seen of the primaries lately, by group.
+	Positions map[string]Seen `cbor:"6,keyasint,omitempty"`
 	// Leader is set in place of everything else by a process that does not lead but knows who does.
 	Leader netip.AddrPort `cbor:"4,keyasint,omitempty"`
 }
