--- a/cmd/almondgrade/node.go
+++ b/cmd/almondgrade/node.go
@@ -21,6 +21,7 @@
 		Role string `positional-arg-name:"ROLE" required:"yes" choice:"proxy" choice:"control" description:"proxy or control"`
 	} `positional-args:"yes"`
 	Settings string `long:"settings" description:"Settings file in the platform's form; by default the one that ALMONDGRADE_NODE_FILE names" value-name:"FILE"`
+	Metrics  uint16 `long:"metrics" description:"Port on the VM's address at which /metrics is served; none by default" value-name:"PORT"`
 }
 
 func addNode(parser *flags.Parser, _ console) error {
@@ -28,7 +29,7 @@
 		"Runs a proxy or a control process with the settings that the platform provides, until SIGTERM or SIGINT.\n\n"+
 			"Exit codes: 0 shut down, 1 faults in settings, 2 wrong command line, 5 failed.\n\n"+
 			"Example:\n"+
-			"almondgrade node proxy --settings /etc/almondgrade/boot.conf",
+			"almondgrade node proxy --settings /etc/almondgrade/boot.conf --metrics 9464",
 		&nodeCommand{})
 }
 
@@ -49,7 +50,10 @@
 		return &flags.Error{Type: flags.ErrInvalidChoice, Message: "the role is proxy or control, not " + c.Args.Role}
 	}
 
-	logger, _ := logging.New(settings.Log{Level: "info", Format: "json"}, os.Stdout)
+	out := logging.NewBounded(os.Stdout)
+	defer out.Close()
+
+	logger, _ := logging.New(settings.Log{Level: "info", Format: "json"}, out)
 
 	// The platform announces changed settings by SIGHUP, which ends a process that does not take it. The settings that
 	// may change are read again when they are needed.
@@ -61,7 +65,7 @@
 
 	go logReloads(ctx, reloads, logger)
 
-	if err := run(ctx, path, logger); err != nil {
+	if err := run(ctx, platform.Options{Path: path, Metrics: c.Metrics, Logger: logger}); err != nil {
 		logger.Error("process failed", "error", err)
 
 		return eris.Wrap(err, c.Args.Role)
--- a/internal/deployed/control.go
+++ b/internal/deployed/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -67,6 +68,7 @@
 	client     *iofleet.Client
 	controller *fleet.Controller
 	listener   net.Listener
+	metrics    *metrics.Metrics
 }
 
 // NewControl starts a control process. Members are named by their address, because nothing else of a seed is known.
@@ -98,13 +100,15 @@
 		return nil, err //nolint:wrapcheck // It says what is wrong with the log.
 	}
 
+	counts := metrics.New()
 	client := iofleet.NewClient(iofleet.ClientOptions{Dial: dial, Logger: options.Logger})
 
 	return &Control{
 		options: options, clock: clock, group: group, client: client, listener: listener,
+		metrics: counts,
 		controller: fleet.New(fleet.Options{
 			Name: options.Name, Log: group, State: state, Promote: options.Promote, Dial: options.Dial, Client: client,
-			Timer: clock, Logger: options.Logger, Metrics: metrics.New(), Announce: options.Announce,
+			Timer: clock, Logger: options.Logger, Metrics: counts, Announce: options.Announce,
 		}),
 	}, nil
 }
@@ -114,6 +118,11 @@
 	return c.controller
 }
 
+// Metrics returns the handler of the metrics address.
+func (c *Control) Metrics() http.Handler {
+	return metrics.Handler(c.metrics.Registry)
+}
+
 // Run serves until the context ends or the log fails. At the end it hands the leadership over.
 func (c *Control) Run(ctx context.Context) error {
 	server := grpc.NewServer(grpc.MaxRecvMsgSize(messageLimit))
--- a/internal/deployed/proxy.go
+++ b/internal/deployed/proxy.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"runtime/debug"
 	"time"
@@ -50,16 +51,17 @@
 	options ProxyOptions
 	clock   *timer.Clock
 	gateway *gateway.Gateway
+	metrics *metrics.Metrics
 }
 
 // NewProxy returns a proxy that is not ready yet.
 func NewProxy(options ProxyOptions) *Proxy {
 	limitMemory(options.Memory)
 
-	clock := timer.New()
+	clock, counts := timer.New(), metrics.New()
 
-	return &Proxy{options: options, clock: clock, gateway: gateway.New(gateway.Options{
-		Dial: options.Dial, Centre: options.Centre, Logger: options.Logger, Metrics: metrics.New(), Timer: clock,
+	return &Proxy{options: options, clock: clock, metrics: counts, gateway: gateway.New(gateway.Options{
+		Dial: options.Dial, Centre: options.Centre, Logger: options.Logger, Metrics: counts, Timer: clock,
 	})}
 }
 
@@ -73,6 +75,11 @@
 	return p.gateway
 }
 
+// Metrics returns the handler of the metrics address.
+func (p *Proxy) Metrics() http.Handler {
+	return metrics.Handler(p.metrics.Registry)
+}
+
 // Run follows control until the context ends. It then finishes what is in progress and returns.
 func (p *Proxy) Run(ctx context.Context) {
 	p.options.Logger.Info("proxy starts", "centre", p.options.Centre)
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -247,6 +247,7 @@
 
 	code := result.CodeOf(err)
 	if code == result.OK {
+		// The outcome of a call that failed without a code is unknown.
 		code = result.NoQuorum
 	}
 
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -385,6 +385,7 @@
 		l.refresh(time.Now())
 	}
 
+	l.controller.options.Metrics.Counter("configurations").Inc(1)
 	logger.Info("configuration proposed", "number", configuration.Number, "in force", answer.Number, "reason",
 		answer.Reason, "error", err)
 
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -248,6 +248,7 @@
 	outcome, err := options.Promote(ctx, Order{Group: s.group, Server: candidate.ID, Holder: options.Name, Token: token})
 
 	cancel()
+	options.Metrics.Counter("orders").Inc(1)
 	s.logger().Info("order given", "group", s.group, "candidate", candidate.ID, "token", token, "outcome", outcome,
 		"error", err)
 
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -2,18 +2,19 @@
 
 import (
 	"errors"
+	"time"
 
 	"almondgrade/core/result"
 )
 
-// unsampled names the refusals that carry no result code.
-const unsampled = "server_error"
+// serverError counts the refusals and failures that a backend server answered with.
+const serverError = "server_error"
 
 // refused logs and counts the refusal or failure of a request.
 func (g *Gateway) refused(statement Statement, database string, err error, attempts int) {
 	code := result.CodeOf(err)
 	if code == result.OK {
-		g.count(unsampled)
+		g.count(serverError)
 	} else {
 		g.options.Metrics.Count(code)
 	}
@@ -39,6 +40,20 @@
 	g.options.Logger.Debug("attempt failed", "request", statement.ID, "server", server, "error", err, "attempt", attempt)
 }
 
+// observe adds the time that a server took for a statement to the histogram of its kind, in microseconds.
+func (g *Gateway) observe(primary, writes bool, took time.Duration) {
+	name := "replica_read_us"
+
+	switch {
+	case writes:
+		name = "write_us"
+	case primary:
+		name = "primary_read_us"
+	}
+
+	g.options.Metrics.Observe(name, took)
+}
+
 func (g *Gateway) count(name string) {
 	g.options.Metrics.Counter(name).Inc(1)
 }
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -413,6 +413,7 @@
 	began := time.Now()
 	answer, err := used.run(deadline, append(commands, last)...)
 	to.server.took(time.Since(began))
+	w.session.gateway.observe(to.primary, w.command.Writes, time.Since(began))
 
 	switch {
 	case errors.Is(err, errSetup):
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,6 +1,8 @@
 package metrics
 
 import (
+	"time"
+
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"almondgrade/core/result"
@@ -51,3 +53,17 @@
 func (m *Metrics) Counter(name string) gometrics.Counter {
 	return gometrics.GetOrRegisterCounter(name, m.Registry)
 }
+
+// sampleSize is the number of values that a histogram keeps. With it, a percentile of 99 is off by a few ranks, and a
+// histogram costs 4 KiB.
+const sampleSize = 512
+
+// Observe adds a duration to the histogram of a name, in microseconds. The histogram is registered on first use.
+func (m *Metrics) Observe(name string, duration time.Duration) {
+	histogram, found := m.Registry.Get(name).(gometrics.Histogram)
+	if !found {
+		histogram = gometrics.GetOrRegisterHistogram(name, m.Registry, gometrics.NewUniformSample(sampleSize))
+	}
+
+	histogram.Update(duration.Microseconds())
+}
