internal/consensus, internal/deployed: six or seven members of the log where two losses are borne

The seeds form the log, the leader admits further members with an empty folder up to seven; a member that is silent for 3 s is replaced only then, and joins again when it returns. On VMs without a disk a relay passes calls on.

--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -122,7 +122,7 @@
 	}
 
 	for id, known := range g.peers {
-		if _, found := status.Configuration.Find(id); found || known.hello.Stage != blank {
+		if _, found := status.Configuration.Find(id); found || !g.joinable(known) {
 			continue
 		}
 
@@ -147,11 +147,26 @@
 		}
 	}
 
+	if len(status.Configuration.Members) < g.options.Grow {
+		return true
+	}
+
 	_, vacant := g.vacancy(status)
 
 	return vacant
 }
 
+// joinable reports whether a peer outside the group may be admitted: it is blank, or was replaced while it was silent
+// and has kept its log and its votes.
+func (g *Group) joinable(known peer) bool {
+	if known.ticks > g.silentTicks() {
+		return false
+	}
+
+	return known.hello.Stage == blank ||
+		g.options.Replace && known.hello.Stage == active && known.hello.Group == g.identity.Group
+}
+
 // vacancy returns a silent voter that a new member may replace. There is none while another member is joining: it takes
 // the place.
 func (g *Group) vacancy(status replog.Status) (silent replog.Member, found bool) {
@@ -159,7 +174,7 @@
 		switch {
 		case !member.Voter:
 			return replog.Member{}, false
-		case g.options.Replace && g.silent(member.ID):
+		case g.options.Replace && g.gone(member.ID):
 			silent, found = member, true
 		}
 	}
@@ -174,6 +189,14 @@
 	return id != g.identity.ID && g.age > g.silentTicks() && (!found || known.ticks > g.silentTicks())
 }
 
+// gone reports whether a member has been silent for so long that another one may take its place.
+func (g *Group) gone(id replog.ID) bool {
+	ticks := int(replaceSilence / g.options.Heartbeat)
+	known, found := g.peers[id]
+
+	return id != g.identity.ID && g.age > ticks && (!found || known.ticks > ticks)
+}
+
 // promote gives a member that has caught up its vote, after the former identities of its name are removed.
 func (g *Group) promote(status replog.Status, member replog.Member) {
 	for _, other := range status.Configuration.Members {
@@ -202,7 +225,7 @@
 	}
 
 	for _, member := range status.Configuration.Members {
-		if member.Voter && member.Name != joining.Name && g.silent(member.ID) {
+		if member.Voter && member.Name != joining.Name && g.gone(member.ID) {
 			silent, found = member, true
 		}
 	}
--- a/internal/consensus/options.go
+++ b/internal/consensus/options.go
@@ -36,6 +36,10 @@
 	DefaultSnapshotEvery = 4096
 )
 
+// replaceSilence is the time for which a member must be silent before another one takes its place. VMs are usually away
+// for longer or much shorter.
+const replaceSilence = 3 * time.Second
+
 // remindInterval is the time between log lines of a member that waits for others.
 const remindInterval = 10 * time.Second
 
@@ -61,8 +65,11 @@
 	Initial []Member
 	// Join keeps a member with an empty folder from forming a group: it waits until it is admitted to one.
 	Join bool
-	// Replace lets a member with an empty folder and a new name take the place of a silent member without an operator.
+	// Replace lets a member with an empty folder and a new name take the place of a member that is silent for
+	// replaceSilence, without an operator. A member that was replaced and returns joins again.
 	Replace bool
+	// Grow is the number of members up to which the leader admits members with an empty folder, without an operator.
+	Grow int
 	// Folder is the data folder.
 	Folder  string
 	Machine StateMachine
--- a/internal/deployed/control.go
+++ b/internal/deployed/control.go
@@ -36,6 +36,9 @@
 	// reconnectLeast and reconnectMost bound the pause between two attempts to connect.
 	reconnectLeast = 20 * time.Millisecond
 	reconnectMost  = 300 * time.Millisecond
+	// votersMost is the number of members up to which the log grows. With 6 or 7 it bears the loss of two at any time;
+	// each further one adds a copy of every change.
+	votersMost = 7
 	// messageLimit bounds one message in bytes. A configuration of several hundred pools takes about 0.2 MB.
 	messageLimit = 16 << 20
 	// transferTimeout bounds the hand-over of the leadership at a planned stop.
@@ -90,7 +93,7 @@
 
 	group, err := consensus.New(consensus.Options{
 		Self:    consensus.Member{Name: options.Address.Addr().String(), Address: options.Address},
-		Initial: initial, Join: !options.First, Replace: true, Folder: options.Folder, Machine: state, Dial: dial,
+		Initial: initial, Join: !options.First, Replace: true, Grow: votersMost, Folder: options.Folder, Machine: state, Dial: dial,
 		Timer: clock, Logger: options.Logger, SnapshotEvery: snapshotEvery, Heartbeat: heartbeat,
 		Election: election,
 	})
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -263,10 +263,14 @@
 		applied = request.Applied.Number
 	}
 
-	now := time.Now()
-	l.leases.Grant(now, holder, applied)
-	l.reports[request.Proxy] = report{at: now, sights: request.Sights}
-	granted := l.divide(now, request)
+	var granted map[string]int
+
+	// A call without a proxy's name only asks for the leader and the view.
+	if now := time.Now(); request.Proxy != "" {
+		l.leases.Grant(now, holder, applied)
+		l.reports[request.Proxy] = report{at: now, sights: request.Sights}
+		granted = l.divide(now, request)
+	}
 	l.mutex.Unlock()
 
 	hold, cancel := context.WithTimeout(ctx, holdTime)
--- a/io/fleet/client.go
+++ b/io/fleet/client.go
@@ -20,6 +20,8 @@
 	SyncTimeout = 1200 * time.Millisecond
 	// DeliverTimeout bounds a Deliver. Backend servers and operators give up after a second.
 	DeliverTimeout = 900 * time.Millisecond
+	// carryPause is the pause before a call that no leader took is repeated.
+	carryPause = 50 * time.Millisecond
 	// redirects bounds how often one call follows a named leader.
 	redirects = 3
 )
@@ -111,6 +113,30 @@
 	return receipt, err
 }
 
+// Carry carries out a call at the leader that the last Sync has found. While there is none, or it has just changed, the
+// call is repeated: a call that was carried out is acknowledged again.
+func (c *Client) Carry(ctx context.Context, delivery *Delivery) (*Receipt, error) {
+	ctx, cancel := context.WithTimeout(ctx, DeliverTimeout)
+	defer cancel()
+
+	for {
+		receipt, err := c.Deliver(ctx, c.target(), delivery)
+		if err == nil && receipt.Code != result.NotLeader {
+			return receipt, nil
+		}
+
+		timer := time.NewTimer(carryPause)
+
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+
+			return receipt, result.New(result.NoQuorum, "no leader of control took the call: %w", ctx.Err())
+		}
+	}
+}
+
 // Close ends all connections.
 func (c *Client) Close() {
 	c.mutex.Lock()
--- a/io/fleet/message.go
+++ b/io/fleet/message.go
@@ -26,6 +26,7 @@
 
 // SyncRequest is what a proxy sends.
 type SyncRequest struct {
+	// Proxy is empty in the calls of a process that serves no callers.
 	Proxy string `cbor:"1,keyasint"`
 	// Instance is drawn at process start.
 	Instance uint64 `cbor:"2,keyasint"`
