--- a/core/share/table_test.go
+++ b/core/share/table_test.go
@@ -30,14 +30,15 @@
 			now = now.Add(10 * time.Millisecond)
 			i := rapid.IntRange(0, proxies-1).Draw(t, "proxy")
 
-			if rapid.Bool().Draw(t, "report") {
+			switch {
+			case rapid.Bool().Draw(t, "report"):
 				granted[i] = table.Report(now, fmt.Sprint(i), share.Demand{
 					Open: open[i], Wanted: rapid.IntRange(0, 80).Draw(t, "wanted"),
 				})
 				require.Positive(t, granted[i])
-			} else if open[i] < granted[i] {
+			case open[i] < granted[i]:
 				open[i] = rapid.IntRange(open[i], granted[i]).Draw(t, "opens")
-			} else {
+			default:
 				open[i] = rapid.IntRange(0, open[i]).Draw(t, "closes")
 			}
 
--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -111,6 +111,9 @@
 	every     uint64
 	// divisor shortens heartbeat and election timeout.
 	divisor time.Duration
+	// managed lets members join, grow and be replaced without an operator; blank are those that don't form a group.
+	managed int
+	blank   map[string]bool
 	root    string
 }
 
@@ -186,6 +189,7 @@
 	p.group, err = consensus.New(consensus.Options{
 		Self: self, Initial: c.initial, Folder: folder, Machine: p.machine, Timer: p.clock, Heartbeat: heartbeat / c.divisor,
 		Election: election / c.divisor, SnapshotEvery: c.every, Files: c.files[self.Name],
+		Replace: c.managed > 0, Grow: c.managed, Join: c.blank[self.Name],
 		Dial: func(to netip.AddrPort) (*grpc.ClientConn, error) { return c.network.dial(self.Address, to) },
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,382 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondgrade/core/deployment"
+	"almondgrade/core/position"
+	"almondgrade/core/result"
+	"almondgrade/core/share"
+	"almondgrade/core/timer"
+	"almondgrade/internal/consensus"
+	"almondgrade/internal/gateway"
+	"almondgrade/internal/metrics"
+	iofleet "almondgrade/io/fleet"
+)
+
+// soloLog is a log of one member that always leads, unless it is cut off.
+type soloLog struct {
+	mutex   sync.Mutex
+	state   *deployment.State
+	index   uint64
+	cut     bool
+	changed chan struct{}
+}
+
+// Propose implements Log.
+func (l *soloLog) Propose(_ context.Context, command []byte) ([]byte, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if l.cut {
+		return nil, result.New(result.NoQuorum, "cut off")
+	}
+
+	l.index++
+
+	return l.state.Apply(l.index, command), nil
+}
+
+// Confirm implements Log.
+func (l *soloLog) Confirm(context.Context) (uint64, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	if l.cut {
+		return 0, result.New(result.NoQuorum, "cut off")
+	}
+
+	return l.index, nil
+}
+
+// Leader implements Log.
+func (l *soloLog) Leader() (string, netip.AddrPort, bool) { return "a", netip.AddrPort{}, true }
+
+// Changed implements Log.
+func (l *soloLog) Changed() <-chan struct{} { return l.changed }
+
+// Status implements Log.
+func (l *soloLog) Status() consensus.Status { return consensus.Status{Term: 7} }
+
+// servers are stand-ins for backend servers, asked over gateway.Backend.
+type servers struct {
+	mutex   sync.Mutex
+	primary string
+	held    map[string]position.LSN
+	down    map[string]bool
+	orders  []Order
+	// outcomes are the answers to the next orders; late orders are carried out without an answer.
+	outcomes []Promotion
+	late     bool
+}
+
+type probeConn struct {
+	servers *servers
+	id      string
+}
+
+func (s *servers) dial(_ time.Time, server deployment.Server) (gateway.Backend, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	if s.down[server.ID] {
+		return nil, &gateway.OutcomeError{Outcome: gateway.WrongServer}
+	}
+
+	return &probeConn{servers: s, id: server.ID}, nil
+}
+
+// Run implements gateway.Backend.
+func (p *probeConn) Run(time.Time, ...gateway.Command) ([]gateway.Answer, error) {
+	p.servers.mutex.Lock()
+	defer p.servers.mutex.Unlock()
+
+	if p.servers.down[p.id] {
+		return nil, &gateway.OutcomeError{Outcome: gateway.WrongServer}
+	}
+
+	return []gateway.Answer{{Status: &gateway.ServerStatus{
+		Primary: p.servers.primary == p.id, Received: position.Position{Term: 1, LSN: p.servers.held[p.id]},
+	}}}, nil
+}
+
+// Alive implements gateway.Backend.
+func (p *probeConn) Alive() bool { return true }
+
+// Close implements gateway.Backend.
+func (p *probeConn) Close() {}
+
+func (s *servers) promote(_ context.Context, order Order) (Promotion, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.orders = append(s.orders, order)
+	outcome := Accepted
+
+	if len(s.outcomes) > 0 {
+		outcome, s.outcomes = s.outcomes[0], s.outcomes[1:]
+	}
+
+	if outcome == Accepted || outcome == Unanswered && s.late {
+		s.primary = order.Server
+	}
+
+	return outcome, nil
+}
+
+func (s *servers) given() []Order {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return append([]Order(nil), s.orders...)
+}
+
+type fixture struct {
+	t          *testing.T
+	log        *soloLog
+	servers    *servers
+	controller *Controller
+	sequence   uint64
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+
+	state := deployment.NewState()
+	f := &fixture{
+		t: t, log: &soloLog{state: state, changed: make(chan struct{})},
+		servers: &servers{primary: "a", held: map[string]position.LSN{"a": 9, "b": 5, "c": 7}, down: map[string]bool{}},
+	}
+	clock := timer.New()
+	f.controller = New(Options{
+		Name: "control", Log: f.log, State: state, Promote: f.servers.promote, Dial: f.servers.dial, Timer: clock,
+		Logger: slog.New(slog.DiscardHandler), Metrics: metrics.New(), Announce: time.Hour,
+	})
+
+	t.Cleanup(func() {
+		f.controller.Close()
+		clock.Close()
+	})
+
+	require.Eventually(t, func() bool { return f.controller.leadership() != nil }, 10*time.Second, time.Millisecond)
+
+	for _, id := range []string{"a", "b", "c"} {
+		f.announce(id, func(*deployment.Server) {})
+	}
+
+	f.deliver(&iofleet.Delivery{Configure: &deployment.Configuration{
+		Number: 1, Groups: []deployment.GroupSettings{{Name: "g", Connections: 12}}, Document: []byte("{}"),
+	}})
+
+	return f
+}
+
+func (f *fixture) announce(id string, change func(*deployment.Server)) {
+	f.t.Helper()
+
+	f.sequence++
+	server := deployment.Server{
+		ID: id, Group: "g", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 2, Sequence: f.sequence, Claims: id == "a",
+	}
+	change(&server)
+	f.deliver(&iofleet.Delivery{Announce: &server})
+}
+
+func (f *fixture) deliver(delivery *iofleet.Delivery) {
+	f.t.Helper()
+
+	receipt, err := f.controller.Deliver(f.t.Context(), delivery)
+	require.NoError(f.t, err)
+	require.NoError(f.t, receipt.Err())
+}
+
+func (f *fixture) group() deployment.Group {
+	return f.log.state.View().Groups["g"]
+}
+
+func (f *fixture) awaitPrimary(id string) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool {
+		group := f.group()
+
+		return group.Primary == id && group.Phase == deployment.Stable
+	}, 30*time.Second, time.Millisecond)
+}
+
+// Guards against a takeover that takes the wrong server, gives more than one order, or reuses a token.
+func TestDeadPrimaryIsReplaced(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		name     string
+		outcomes []Promotion
+		late     bool
+		orders   int
+	}{
+		{"accepted", nil, false, 1},
+		{"rejected once", []Promotion{Rejected}, false, 2},
+		{"carried out without an answer", []Promotion{Unanswered}, true, 1},
+		{"never carried out", []Promotion{Unanswered}, false, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFixture(t)
+			f.awaitPrimary("a")
+
+			f.servers.mutex.Lock()
+			f.servers.outcomes, f.servers.late = test.outcomes, test.late
+			f.servers.down["a"] = true
+			f.servers.mutex.Unlock()
+
+			f.awaitPrimary("c")
+
+			orders := f.servers.given()
+			require.Len(t, orders, test.orders)
+
+			for i, order := range orders {
+				assert.Equal(t, "c", order.Server, "the replica that has received the most")
+
+				if i > 0 {
+					assert.Greater(t, order.Token, orders[i-1].Token)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an order while a proxy still reads from the former primary.
+func TestOrderWaitsForProxies(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.awaitPrimary("a")
+
+	request := &iofleet.SyncRequest{Proxy: "p", Instance: 1}
+	sync := func() *iofleet.SyncReply {
+		reply, err := f.controller.Sync(t.Context(), request)
+		require.NoError(t, err)
+
+		if reply.View != nil {
+			request.Applied = reply.View.Version
+		}
+
+		return reply
+	}
+
+	require.Positive(t, sync().Lease)
+
+	f.servers.mutex.Lock()
+	f.servers.down["a"] = true
+	f.servers.mutex.Unlock()
+
+	require.Eventually(t, func() bool { return f.group().Phase == deployment.Fencing }, 20*time.Second, time.Millisecond)
+
+	reply := sync()
+	require.Equal(t, deployment.Fencing, reply.View.Groups[0].Phase)
+	assert.Empty(t, f.servers.given(), "the proxy has not said that it has applied the view")
+	sync()
+	f.awaitPrimary("c")
+}
+
+// Guards against a primary that leaves and is replaced only once it is gone, or by a server that leaves as well.
+func TestLeavingPrimaryIsReplaced(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.awaitPrimary("a")
+
+	f.servers.mutex.Lock()
+	f.servers.held["b"], f.servers.held["c"] = 9, 9
+	f.servers.mutex.Unlock()
+
+	f.announce("b", func(server *deployment.Server) { server.Leaving = true })
+	f.announce("a", func(server *deployment.Server) { server.Leaving = true })
+	f.awaitPrimary("c")
+}
+
+// Guards against a leader that is cut off and grants leases, or returns a configuration as the newest.
+func TestCutOffLeader(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.log.mutex.Lock()
+	f.log.cut = true
+	f.log.mutex.Unlock()
+
+	receipt, err := f.controller.Deliver(t.Context(), &iofleet.Delivery{Read: true})
+	require.NoError(t, err)
+	assert.Equal(t, result.NoQuorum, receipt.Code)
+	assert.Nil(t, receipt.Configuration)
+
+	request := &iofleet.SyncRequest{Proxy: "p", Instance: 1}
+
+	require.Eventually(t, func() bool {
+		reply, err := f.controller.Sync(t.Context(), request)
+		require.NoError(t, err)
+
+		return reply.Lease <= 0
+	}, 30*time.Second, time.Millisecond, "leases must end with the last proof of leadership")
+}
+
+// Guards against a server that comes back by an announcement which was delayed until after its end.
+func TestLateAnnouncement(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.awaitPrimary("a")
+	f.deliver(&iofleet.Delivery{Withdraw: "b"})
+	assert.NotContains(t, f.log.state.View().Servers, "b")
+
+	f.sequence = 1
+	f.announce("b", func(*deployment.Server) {})
+	assert.NotContains(t, f.log.state.View().Servers, "b")
+
+	f.sequence = 100
+	f.announce("b", func(*deployment.Server) {})
+	assert.Contains(t, f.log.state.View().Servers, "b")
+}
+
+// Guards against connections that are granted beyond the operator's limit, and against positions that look younger than
+// they are.
+func TestSyncReply(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.awaitPrimary("a")
+
+	sum := 0
+
+	for _, name := range []string{"p", "q", "r"} {
+		reply, err := f.controller.Sync(t.Context(), &iofleet.SyncRequest{
+			Proxy: name, Instance: 1, Demands: map[string]share.Demand{"a": {Open: 1, Wanted: 20}, "unknown": {Wanted: 1}},
+		})
+		require.NoError(t, err)
+		assert.EqualValues(t, 1, reply.Configuration.Number)
+		assert.Empty(t, reply.Configuration.Document)
+		assert.NotContains(t, reply.Connections, "unknown")
+
+		sum += max(1, reply.Connections["a"])
+	}
+
+	assert.LessOrEqual(t, sum, 12+2)
+
+	began := time.Now()
+
+	require.Eventually(t, func() bool {
+		reply, err := f.controller.Sync(t.Context(), &iofleet.SyncRequest{Proxy: "p", Instance: 1})
+		require.NoError(t, err)
+
+		seen, known := reply.Positions["g"]
+
+		return known && seen.Position.LSN == 9 && seen.Age > 0 && seen.Age < time.Since(began)+positionTime
+	}, 10*time.Second, time.Millisecond)
+}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -135,9 +135,9 @@
 		return nil, err
 	}
 
-	for i, answer := range answers {
-		if answer.Outcome == Done {
-			c.note(commands[i])
+	for i, command := range commands {
+		if answers[i].Outcome == Done {
+			c.note(command)
 		}
 	}
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -28,7 +28,7 @@
 	position position.Position
 	limit    int
 	open     int
-	dialed   int
+	dials    int
 	// down refuses connections.
 	down bool
 	// script, if set, answers commands; ok is false to answer as usual.
@@ -49,7 +49,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 
-	m.dialed++
+	m.dials++
 
 	if m.down {
 		return nil, errors.New("connection refused")
@@ -406,7 +406,7 @@
 
 	reply := f.connect("latest").ask(Write, "WRITE 1 a")
 	assert.Equal(t, result.ConnectionLost, result.CodeOf(reply.Err))
-	assert.Equal(t, 1, f.members["p"].dialed)
+	assert.Equal(t, 1, f.members["p"].dials)
 }
 
 // Guards against a lost answer of a read that reaches the caller though another server can serve it.
@@ -441,7 +441,7 @@
 	assert.Equal(t, []string{
 		"a EXECUTE s 1 map[zone:a]", "b EXECUTE s 1 map[]", "a EXECUTE s 1 map[zone:a]", "b EXECUTE s 1 map[]",
 	}, f.members["p"].ran)
-	assert.Equal(t, 1, f.members["p"].dialed)
+	assert.Equal(t, 1, f.members["p"].dials)
 
 	unknown := b.send(Statement{Kind: Execute, Name: "other"})
 	assert.Equal(t, UnknownStatement, outcomeOf(unknown.Err))
@@ -468,7 +468,7 @@
 	require.NoError(t, session.ask(Begin, "BEGIN").Err)
 	require.NoError(t, session.ask(Write, "WRITE 1 a").Err)
 	require.NoError(t, session.ask(Commit, "COMMIT").Err)
-	assert.Equal(t, 1, f.members["p"].dialed)
+	assert.Equal(t, 1, f.members["p"].dials)
 	assert.Zero(t, refusals)
 }
 
--- a/internal/gateway/pool_test.go
+++ b/internal/gateway/pool_test.go
@@ -94,7 +94,7 @@
 		served.mutex.Lock()
 		defer served.mutex.Unlock()
 
-		return served.dialed > 2
+		return served.dials > 2
 	}, 5*time.Second, time.Millisecond)
 	stale.Close()
 	assert.NoError(t, <-done)
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -210,29 +210,36 @@
 	switch {
 	case errors.Is(err, errSetup):
 		return s.abort(command, &abortedError{result.New(result.ServerUnreachable, "session state: %s", answer.Detail)})
-	case err != nil && command.Kind == Commit && s.tx.wrote:
-		s.tx.server.fail(time.Now())
+	case err != nil:
+		return s.unanswered(command, err)
+	case answer.Outcome != Done && answer.Outcome.Ran():
+		return s.abort(command, answer.Err())
+	case answer.Outcome != Done:
+		return s.abort(command, &abortedError{answer.Err()})
+	}
+
+	return s.ran(command, answer)
+}
+
+// unanswered returns the reply to a statement of a transaction whose connection was lost. The server rolls back unless
+// it had received a commit.
+func (s *session) unanswered(command Command, err error) Reply {
+	at := s.tx.server
 
-		return s.abort(command, result.New(result.ConnectionLost, "server %s did not answer the commit: %w", s.tx.server.id, err))
-	case err != nil && command.Kind == Rollback:
-		// The lost connection rolls back as well.
+	if command.Kind == Rollback {
 		s.release(true)
 		s.tx = transaction{}
 
 		return Reply{}
-	case err != nil:
-		s.tx.server.fail(time.Now())
+	}
 
-		return s.abort(command, &abortedError{result.New(result.ServerUnreachable, "server %s did not answer: %w", s.tx.server.id, err)})
-	case answer.Outcome != Done && command.Kind == Commit && answer.Outcome.Ran() && s.tx.wrote:
-		return s.abort(command, answer.Err())
-	case answer.Outcome == Failed || answer.Outcome == TimedOut || answer.Outcome == OtherFailure:
-		return s.abort(command, answer.Err())
-	case answer.Outcome != Done:
-		return s.abort(command, &abortedError{answer.Err()})
+	at.fail(time.Now())
+
+	if command.Kind == Commit && s.tx.wrote {
+		return s.abort(command, result.New(result.ConnectionLost, "server %s did not answer the commit: %w", at.id, err))
 	}
 
-	return s.ran(command, answer)
+	return s.abort(command, &abortedError{result.New(result.ServerUnreachable, "server %s did not answer: %w", at.id, err)})
 }
 
 // busyPause is the first pause before a statement of a transaction is repeated at a server without room.
