io/fleet: register the codec before any call

Cause: a run of the platform tests with the race detector beside other load reported a data race: Register added the codec to gRPC's table while links of the log already made calls. On a VM it could end the process with a concurrent map access.

Change: the codec is added in init, as gRPC asks for.

--- a/internal/consensus/managed_test.go
+++ b/internal/consensus/managed_test.go
@@ -103,5 +103,4 @@
 	for name, p := range c.processes {
 		require.Equal(t, "blank", p.group.Status().Stage, name)
 	}
-
 }
--- a/io/fleet/service.go
+++ b/io/fleet/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -44,14 +43,13 @@
 	return "cbor"
 }
 
-// registerCodec makes the codec known to gRPC servers, which find it by the name that a call carries.
-//
-//nolint:gochecknoglobals // gRPC keeps codecs in a global table, which must not be changed twice.
-var registerCodec = sync.OnceFunc(func() { encoding.RegisterCodec(codec{}) })
+// gRPC keeps codecs in a table without a lock, so that they can only be added before any call.
+func init() {
+	encoding.RegisterCodec(codec{})
+}
 
-// Register adds the service to a gRPC server. Call it before the process makes its first gRPC call.
+// Register adds the service to a gRPC server.
 func Register(registrar grpc.ServiceRegistrar, service Service) {
-	registerCodec()
 	registrar.RegisterService(&grpc.ServiceDesc{
 		ServiceName: serviceName,
 		HandlerType: (*Service)(nil),
