--- a/cmd/almondgrade/node.go
+++ b/cmd/almondgrade/node.go
@@ -20,7 +20,7 @@
 	Args struct {
 		Role string `positional-arg-name:"ROLE" required:"yes" choice:"proxy" choice:"control" description:"proxy or control"`
 	} `positional-args:"yes"`
-	Settings string `long:"settings" description:"Settings file in the platform's form; by default the one that ALMONDGRADE_NODE_FILE names" value-name:"FILE"`
+	Settings string `long:"settings" description:"Settings file in the platform's form; by default the one that the platform names in the environment" value-name:"FILE"`
 	Metrics  uint16 `long:"metrics" description:"Port on the VM's address at which /metrics is served; none by default" value-name:"PORT"`
 }
 
--- a/core/takeover/judge.go
+++ b/core/takeover/judge.go
@@ -26,7 +26,6 @@
 
 // Sight is what one proxy says of a primary.
 type Sight struct {
-	Proxy string
 	// Reached is true if the primary answered it after its last failure.
 	Reached bool
 	// Failing is the time for which the proxy has failed to reach the primary.
--- a/internal/fleet/steward.go
+++ b/internal/fleet/steward.go
@@ -121,7 +121,7 @@
 	evidence.Announced = s.leadership.announced(now, group.Primary)
 
 	for _, sight := range s.leadership.sights(now, group.Primary) {
-		evidence.Sights = append(evidence.Sights, takeover.Sight{Proxy: "", Reached: sight.Reached, Failing: sight.Failing})
+		evidence.Sights = append(evidence.Sights, takeover.Sight{Reached: sight.Reached, Failing: sight.Failing})
 	}
 
 	if takeover.Judge(evidence) != takeover.Replace || !s.replaceable(view, group) {
