--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -61,6 +61,8 @@
 	waited   int
 	peers    map[replog.ID]peer
 	admitted map[string]netip.AddrPort
+	// sought are addresses at which this process looks for a group while it belongs to none.
+	sought []netip.AddrPort
 }
 
 // view is what callers see without asking the loop.
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"almondgrade/core/container"
@@ -57,7 +58,11 @@
 		}
 	}
 
-	if g.node != nil {
+	if g.node == nil {
+		for _, address := range g.sought {
+			wanted.Add(address)
+		}
+	} else {
 		for _, member := range g.node.Status().Configuration.Members {
 			if address, found := g.addressOf(member.ID); found {
 				wanted.Add(address)
@@ -69,6 +74,18 @@
 	g.setLinks(wanted)
 }
 
+// Seek names further processes that may be members. A process that belongs to no group yet introduces itself to them.
+func (g *Group) Seek(ctx context.Context, addresses []netip.AddrPort) error {
+	return g.call(ctx, func() error {
+		if g.node == nil && len(addresses) > 0 && !slices.Equal(g.sought, addresses) {
+			g.sought = slices.Clone(addresses)
+			g.connect()
+		}
+
+		return nil
+	})
+}
+
 func (g *Group) setLinks(wanted container.Set[netip.AddrPort]) {
 	var closed []*link
 
--- a/internal/deployed/control.go
+++ b/internal/deployed/control.go
@@ -6,9 +6,12 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
@@ -43,6 +46,9 @@
 	messageLimit = 16 << 20
 	// transferTimeout bounds the hand-over of the leadership at a planned stop.
 	transferTimeout = time.Second
+	// introduceInterval is the time between two calls to seeds without a log. After a restart of all processes, the
+	// callers of such a seed wait for the first one.
+	introduceInterval = 500 * time.Millisecond
 )
 
 // ControlOptions describe a Control.
@@ -50,8 +56,9 @@
 	Name string
 	// Address is where other processes of the system reach this one.
 	Address netip.AddrPort
-	// Seeds are the addresses of control processes. At the first start they are those that form the group.
-	Seeds []netip.AddrPort
+	// Seeds returns the addresses of control processes, which may change. At the first start they are those that form
+	// the group.
+	Seeds func() []netip.AddrPort
 	First bool
 	// Folder is the data folder.
 	Folder   string
@@ -84,7 +91,7 @@
 	}
 
 	var initial []consensus.Member
-	for _, seed := range options.Seeds {
+	for _, seed := range options.Seeds() {
 		initial = append(initial, consensus.Member{Name: seed.Addr().String(), Address: seed})
 	}
 
@@ -136,9 +143,15 @@
 
 	go func() { ended <- server.Serve(c.listener) }()
 
-	c.options.Logger.Info("control process starts", "address", c.options.Address, "seeds", c.options.Seeds, "first",
+	c.options.Logger.Info("control process starts", "address", c.options.Address, "seeds", c.options.Seeds(), "first",
 		c.options.First)
 
+	introducing, stop := context.WithCancel(ctx)
+
+	var introduced sync.WaitGroup
+
+	introduced.Go(func() { c.introduce(introducing) })
+
 	var failure error
 
 	select {
@@ -150,6 +163,8 @@
 		failure = eris.Wrap(err, "serve other processes")
 	}
 
+	stop()
+	introduced.Wait()
 	c.controller.Close()
 	server.Stop()
 	c.client.Close()
@@ -164,6 +179,37 @@
 	return failure
 }
 
+// introduce names the processes with the log to the seeds that keep none, and asks them for the log while this process
+// has none.
+func (c *Control) introduce(ctx context.Context) {
+	for timer.Sleep(ctx, introduceInterval) == nil {
+		known := c.controller.Control()
+
+		var asked errgroup.Group
+
+		for _, seed := range c.options.Seeds() {
+			if seed == c.options.Address || slices.Contains(known, seed) {
+				continue
+			}
+
+			asked.Go(func() error {
+				answer, err := c.client.Introduce(ctx, seed, known)
+				if err != nil {
+					c.options.Logger.Debug("seed is not reached", "seed", seed, "error", err)
+
+					return nil
+				}
+
+				return c.group.Seek(ctx, answer)
+			})
+		}
+
+		if err := asked.Wait(); err != nil && ctx.Err() == nil {
+			c.options.Logger.Warn("processes with the log can't be asked to admit this one", "error", err)
+		}
+	}
+}
+
 func (c *Control) handOver() {
 	if _, _, self := c.group.Leader(); !self {
 		return
--- a/internal/deployed/relay.go
+++ b/internal/deployed/relay.go
@@ -4,10 +4,19 @@
 	"context"
 	"log/slog"
 	"math"
+	"net"
+	"net/http"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+
+	"almondgrade/core/result"
 	"almondgrade/core/timer"
+	"almondgrade/internal/metrics"
 	"almondgrade/io/fleet"
 )
 
@@ -16,6 +25,8 @@
 
 // RelayOptions describe a Relay.
 type RelayOptions struct {
+	// Address is where other processes of the system reach this one.
+	Address netip.AddrPort
 	// Control returns the addresses of control processes to begin with. It is called again while none is reached.
 	Control func() []netip.AddrPort
 	// Memory is the size in bytes above which the process is ended.
@@ -23,54 +34,151 @@
 	Logger *slog.Logger
 }
 
-// Relay passes the calls of backend servers and operators on to the leader of control. It keeps no state.
+// Relay passes the calls of backend servers and operators on to the leader of control, and tells proxies who leads. It
+// keeps no state: the processes with the log introduce themselves to it.
 type Relay struct {
-	options RelayOptions
-	client  *fleet.Client
+	options  RelayOptions
+	client   *fleet.Client
+	listener net.Listener
+	metrics  *metrics.Metrics
+
+	mutex sync.Mutex
+	// leader is the process that led when it was asked last, or invalid.
+	leader netip.AddrPort
+	// control are the processes with the log that are known, and turn counts the times that one was named without
+	// knowing whether it leads.
+	control []netip.AddrPort
+	turn    int
 }
 
 // NewRelay returns a relay that knows the first addresses only.
-func NewRelay(options RelayOptions) *Relay {
+func NewRelay(options RelayOptions) (*Relay, error) {
 	limitMemory(options.Memory)
 
-	return &Relay{options: options, client: fleet.NewClient(fleet.ClientOptions{
+	listener, err := net.Listen("tcp", options.Address.String())
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for other processes")
+	}
+
+	return &Relay{options: options, listener: listener, metrics: metrics.New(), client: fleet.NewClient(fleet.ClientOptions{
 		Seeds: options.Control(), Dial: dial, Logger: options.Logger,
-	})}
+	})}, nil
+}
+
+// Metrics returns the handler of the metrics address.
+func (r *Relay) Metrics() http.Handler {
+	return metrics.Handler(r.metrics.Registry)
 }
 
 // Run keeps track of the leader until the context ends.
-func (r *Relay) Run(ctx context.Context) {
-	r.options.Logger.Info("relay starts")
+func (r *Relay) Run(ctx context.Context) error {
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(messageLimit))
+	fleet.Register(server, r)
+
+	ended := make(chan error, 1)
+
+	go func() { ended <- server.Serve(r.listener) }()
+
+	r.options.Logger.Info("relay starts", "address", r.options.Address)
+	r.follow(ctx)
+	server.Stop()
+	r.client.Close()
+	r.options.Logger.Info("relay ends")
 
-	var (
-		version fleet.Version
-		known   []netip.AddrPort
-	)
+	return eris.Wrap(<-ended, "serve other processes")
+}
+
+// follow asks for the leader again and again.
+func (r *Relay) follow(ctx context.Context) {
+	var version fleet.Version
 
 	for ctx.Err() == nil {
 		// A relay needs no configuration, so it claims the highest one.
 		reply, err := r.client.Sync(ctx, &fleet.SyncRequest{Applied: version, Configuration: math.MaxUint64})
-
-		switch {
-		case err != nil:
-			r.options.Logger.Debug("control is not reached", "error", err)
-			r.client.Learn(append(r.options.Control(), known...))
+		if err != nil {
+			r.lost(err)
 			_ = timer.Sleep(ctx, syncPauseMost) // The loop looks at the context.
 
 			continue
-		case reply.View != nil:
-			version, known = reply.View.Version, reply.View.Control
-			r.client.Learn(known)
 		}
 
+		if reply.View != nil {
+			version = reply.View.Version
+		}
+
+		r.found(r.client.Present(), reply.View)
 		_ = timer.Sleep(ctx, relayInterval) // The loop looks at the context.
 	}
+}
 
-	r.client.Close()
-	r.options.Logger.Info("relay ends")
+func (r *Relay) found(leader netip.AddrPort, view *fleet.View) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	if r.leader != leader {
+		r.options.Logger.Info("leader of control found", "leader", leader)
+	}
+
+	r.leader = leader
+
+	if view != nil {
+		r.control = view.Control
+		r.client.Learn(r.control)
+	}
+}
+
+func (r *Relay) lost(err error) {
+	seeds := r.options.Control()
+
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	if r.leader.IsValid() {
+		r.options.Logger.Warn("control is not reached", "error", err)
+	}
+
+	r.leader = netip.AddrPort{}
+	r.metrics.Counter("control_lost").Inc(1)
+	r.client.Learn(slices.Concat(r.control, seeds))
 }
 
 // Carry carries out a call at the leader.
 func (r *Relay) Carry(ctx context.Context, delivery *fleet.Delivery) (*fleet.Receipt, error) {
+	r.metrics.Counter("calls").Inc(1)
+
 	return r.client.Carry(ctx, delivery)
 }
+
+// Sync implements fleet.Service. It names the leader, or else each process with the log in turn.
+func (r *Relay) Sync(context.Context, *fleet.SyncRequest) (*fleet.SyncReply, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	if r.leader.IsValid() || len(r.control) == 0 {
+		return &fleet.SyncReply{Leader: r.leader}, nil
+	}
+
+	r.turn++
+
+	return &fleet.SyncReply{Leader: r.control[r.turn%len(r.control)]}, nil
+}
+
+// Deliver implements fleet.Service. Calls go to the leader without a further hop.
+func (r *Relay) Deliver(context.Context, *fleet.Delivery) (*fleet.Receipt, error) {
+	return &fleet.Receipt{Code: result.NotLeader, Reason: "this process keeps no log"}, nil
+}
+
+// Introduce implements fleet.Service.
+func (r *Relay) Introduce(_ context.Context, introduction *fleet.Introduction) (*fleet.Introduction, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	// Without a leader's view, the processes that introduced themselves last are the best knowledge.
+	if !r.leader.IsValid() && len(introduction.Control) > 0 && !slices.Equal(r.control, introduction.Control) {
+		r.options.Logger.Info("processes with the log introduced themselves", "control", introduction.Control)
+		r.control = introduction.Control
+		r.client.Learn(r.control)
+	}
+
+	return &fleet.Introduction{Control: r.control}, nil
+}
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -39,6 +39,8 @@
 	Leader() (name string, address netip.AddrPort, self bool)
 	Changed() <-chan struct{}
 	Status() consensus.Status
+	// Seek names processes that may keep the log to a process that keeps none yet.
+	Seek(ctx context.Context, addresses []netip.AddrPort) error
 }
 
 // Order is the order to promote a backend server.
@@ -226,6 +228,21 @@
 	}
 }
 
+// Introduce implements iofleet.Service.
+func (c *Controller) Introduce(ctx context.Context, introduction *iofleet.Introduction) (*iofleet.Introduction, error) {
+	return &iofleet.Introduction{Control: c.Control()}, c.options.Log.Seek(ctx, introduction.Control)
+}
+
+// Control returns the addresses of the processes with the log, as far as this one knows.
+func (c *Controller) Control() []netip.AddrPort {
+	var control []netip.AddrPort
+	for _, member := range c.options.Log.Status().Members {
+		control = append(control, member.Address)
+	}
+
+	return control
+}
+
 // Carry carries out a call of a backend server or an operator, here or at the leader.
 func (c *Controller) Carry(ctx context.Context, delivery *iofleet.Delivery) (*iofleet.Receipt, error) {
 	if c.leadership() != nil {
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -176,7 +175,7 @@
 
 // compose returns the present view without a version. The mutex is held.
 func (l *leadership) compose(now time.Time, state *deployment.View) iofleet.View {
-	next := iofleet.View{Proxies: l.leases.Holders(now), Control: l.control()}
+	next := iofleet.View{Proxies: l.leases.Holders(now), Control: l.controller.Control()}
 
 	for _, name := range slices.Sorted(maps.Keys(state.Groups)) {
 		next.Groups = append(next.Groups, state.Groups[name])
@@ -192,15 +191,6 @@
 	return next
 }
 
-func (l *leadership) control() []netip.AddrPort {
-	var control []netip.AddrPort
-	for _, member := range l.controller.options.Log.Status().Members {
-		control = append(control, member.Address)
-	}
-
-	return control
-}
-
 func (l *leadership) silentTime() time.Duration {
 	return time.Duration(silentIntervals * float64(l.controller.options.Announce))
 }
--- a/io/fleet/client.go
+++ b/io/fleet/client.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"almondgrade/core/result"
+	"almondgrade/core/timer"
 )
 
 const (
@@ -20,6 +21,8 @@
 	SyncTimeout = 1200 * time.Millisecond
 	// DeliverTimeout bounds a Deliver. Backend servers and operators give up after a second.
 	DeliverTimeout = 900 * time.Millisecond
+	// introduceTimeout bounds an Introduce, which is repeated each second.
+	introduceTimeout = 500 * time.Millisecond
 	// carryPause is the pause before a call that no leader took is repeated.
 	carryPause = 50 * time.Millisecond
 	// redirects bounds how often one call follows a named leader.
@@ -78,7 +81,7 @@
 	defer cancel()
 
 	for range redirects {
-		address := c.target()
+		address := c.Present()
 		reply := new(SyncReply)
 
 		if err := c.invoke(ctx, address, syncMethod, request, reply); err != nil {
@@ -113,6 +116,17 @@
 	return receipt, err
 }
 
+// Introduce tells a control process which ones the caller knows, and returns those that it knows.
+func (c *Client) Introduce(ctx context.Context, to netip.AddrPort, known []netip.AddrPort) ([]netip.AddrPort, error) {
+	ctx, cancel := context.WithTimeout(ctx, introduceTimeout)
+	defer cancel()
+
+	answer := new(Introduction)
+	err := c.invoke(ctx, to, introduceMethod, &Introduction{Control: known}, answer)
+
+	return answer.Control, err
+}
+
 // Carry carries out a call at the leader that the last Sync has found. While there is none, or it has just changed, the
 // call is repeated: a call that was carried out is acknowledged again.
 func (c *Client) Carry(ctx context.Context, delivery *Delivery) (*Receipt, error) {
@@ -120,19 +134,13 @@
 	defer cancel()
 
 	for {
-		receipt, err := c.Deliver(ctx, c.target(), delivery)
+		receipt, err := c.Deliver(ctx, c.Present(), delivery)
 		if err == nil && receipt.Code != result.NotLeader {
 			return receipt, nil
 		}
 
-		timer := time.NewTimer(carryPause)
-
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-
-			return receipt, result.New(result.NoQuorum, "no leader of control took the call: %w", ctx.Err())
+		if err := timer.Sleep(ctx, carryPause); err != nil {
+			return receipt, result.New(result.NoQuorum, "no leader of control took the call: %w", err)
 		}
 	}
 }
@@ -192,7 +200,8 @@
 	delete(c.conns, address)
 }
 
-func (c *Client) target() netip.AddrPort {
+// Present returns the control process that the next call goes to: the leader, if the last one succeeded.
+func (c *Client) Present() netip.AddrPort {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
--- a/io/fleet/client_test.go
+++ b/io/fleet/client_test.go
@@ -30,8 +30,8 @@
 		visited := make(map[netip.AddrPort]bool)
 
 		for range 3 {
-			visited[client.target()] = true
-			client.leave(client.target())
+			visited[client.Present()] = true
+			client.leave(client.Present())
 		}
 
 		assert.Len(t, visited, 3, control)
@@ -59,6 +59,10 @@
 	return &p.receipt, nil
 }
 
+func (p *process) Introduce(context.Context, *Introduction) (*Introduction, error) {
+	return &Introduction{}, nil
+}
+
 func start(t *testing.T, served *process) netip.AddrPort {
 	t.Helper()
 
--- a/io/fleet/message.go
+++ b/io/fleet/message.go
@@ -105,3 +105,10 @@
 
 	return result.New(r.Code, "%s", r.Reason)
 }
+
+// Introduction names control processes. A process that keeps the log sends it to the processes that the settings name as
+// seeds, because the settings may name only processes without a log, which nobody else tells where the log is.
+type Introduction struct {
+	// Control are the addresses of processes that keep the log, as far as the sender knows.
+	Control []netip.AddrPort `cbor:"1,keyasint,omitempty"`
+}
--- a/io/fleet/service.go
+++ b/io/fleet/service.go
@@ -11,16 +11,19 @@
 
 // The names of the gRPC service and its methods.
 const (
-	serviceName   = "almondgrade.Fleet"
-	syncMethod    = "Sync"
-	deliverMethod = "Deliver"
-	prefix        = "/" + serviceName + "/"
+	serviceName     = "almondgrade.Fleet"
+	syncMethod      = "Sync"
+	deliverMethod   = "Deliver"
+	introduceMethod = "Introduce"
+	prefix          = "/" + serviceName + "/"
 )
 
 // Service is implemented by a control process.
 type Service interface {
 	Sync(ctx context.Context, request *SyncRequest) (*SyncReply, error)
 	Deliver(ctx context.Context, delivery *Delivery) (*Receipt, error)
+	// Introduce takes the addresses that the caller knows and returns those that this process knows.
+	Introduce(ctx context.Context, introduction *Introduction) (*Introduction, error)
 }
 
 // codec encodes messages as CBOR.
@@ -56,6 +59,7 @@
 		Methods: []grpc.MethodDesc{
 			{MethodName: syncMethod, Handler: unary(Service.Sync)},
 			{MethodName: deliverMethod, Handler: unary(Service.Deliver)},
+			{MethodName: introduceMethod, Handler: unary(Service.Introduce)},
 		},
 	}, service)
 }
