internal/fleet, core/takeover: no candidate of an older term or of unknown position

Change: STATUS is read with its term; the state keeps the newest term of each group; a server that knows only older ones is no candidate for 15 s, nor is one whose position is not known. A primary that takes itself for one counts only in a newer term. A candidate without room is asked five times more. After an accepted order, the announcement of the change counts as well as a probe.

Ruled out: reads at a promoted replica before it has applied what it received (the log stood past the promotion); the lag field of STATUS; views loaded after the time of an observation.

Tests, each failing on the former code: TestChooseIgnoresServersOfAnOlderTerm, TestFormerPrimaryIsNotPromoted. Guards: TestReplicaOfUnknownPositionIsNotPromoted, TestPrimaryWithoutRoomIsRecognized.

--- a/core/deployment/command.go
+++ b/core/deployment/command.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"almondgrade/core/position"
 	"almondgrade/core/result"
 )
 
@@ -68,6 +69,8 @@
 	Primary string `cbor:"2,keyasint"`
 	// Former is the primary that the proposer knew.
 	Former string `cbor:"3,keyasint,omitempty"`
+	// Term is the term in which it leads.
+	Term position.Term `cbor:"4,keyasint,omitempty"`
 }
 
 // Fence begins a takeover.
@@ -96,6 +99,8 @@
 	Group   string `cbor:"1,keyasint"`
 	Token   uint64 `cbor:"2,keyasint"`
 	Primary string `cbor:"3,keyasint"`
+	// Term is the term in which the primary leads, or a lower bound.
+	Term position.Term `cbor:"4,keyasint,omitempty"`
 }
 
 // Encode returns the command as a log entry.
--- a/core/deployment/state.go
+++ b/core/deployment/state.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"almondgrade/core/position"
 	"almondgrade/core/result"
 )
 
@@ -50,6 +51,9 @@
 	Token uint64 `cbor:"5,keyasint,omitempty"`
 	// Epoch is the log index of the last change of primary or phase.
 	Epoch uint64 `cbor:"6,keyasint"`
+	// Term is the newest term in which the group is known to have been led. A server that knows only older ones may hold
+	// commits which an earlier takeover has discarded.
+	Term position.Term `cbor:"8,keyasint,omitempty"`
 	// Planned is true during the takeover from a primary that leaves.
 	Planned bool `cbor:"7,keyasint,omitempty"`
 }
@@ -246,7 +250,7 @@
 		return refuse(result.NotFound, "server %q of group %s is not known", a.Primary, g.Name)
 	}
 
-	g.Primary = a.Primary
+	g.Primary, g.Term = a.Primary, max(g.Term, a.Term)
 
 	return Answer{}
 }
@@ -292,6 +296,7 @@
 	}
 
 	g.Phase, g.Primary, g.Candidate, g.Planned = Stable, f.Primary, "", false
+	g.Term = max(g.Term, f.Term)
 
 	return Answer{}
 }
--- a/core/takeover/choose.go
+++ b/core/takeover/choose.go
@@ -2,27 +2,43 @@
 
 import "almondgrade/core/position"
 
-// Candidate is a server of the group that answered the leader.
+// Candidate is a server of the group that told the leader its state.
 type Candidate struct {
 	ID string
+	// Term is the newest term that it knows.
+	Term position.Term
 	// Received is the last position that it holds.
 	Received position.Position
 	// Leaving servers are chosen only if there is no other.
 	Leaving bool
 }
 
-// Choose returns the server to promote. Members is the number of servers of the group without the former primary,
-// syncReplicas the number that held each acknowledged commit: so many may be missing at most, less one, or an
-// acknowledged commit could be on a missing one only.
-func Choose(candidates []Candidate, members, syncReplicas int) (chosen string, possible bool) {
-	if syncReplicas > 0 && len(candidates) < members-syncReplicas+1 {
+// Needs are what a group asks of its next primary.
+type Needs struct {
+	// Replicas is the number of servers of the group without the former primary.
+	Replicas int
+	// SyncReplicas is the number of replicas that held each acknowledged commit: so many may be missing at most, less
+	// one, or an acknowledged commit could be on a missing one only.
+	SyncReplicas int
+	// Term is the newest term in which the group was led. A server that knows only older ones may hold commits which an
+	// earlier takeover discarded, and lacks those that came after it.
+	Term position.Term
+}
+
+// Choose returns the server to promote.
+func Choose(candidates []Candidate, needs Needs) (chosen string, possible bool) {
+	if needs.SyncReplicas > 0 && len(candidates) < needs.Replicas-needs.SyncReplicas+1 {
 		return "", false
 	}
 
 	var best Candidate
 
 	for _, candidate := range candidates {
-		if !possible || better(candidate, best, syncReplicas > 0) {
+		if candidate.Term < needs.Term {
+			continue
+		}
+
+		if !possible || better(candidate, best, needs.SyncReplicas > 0) {
 			best, possible = candidate, true
 		}
 	}
--- a/core/takeover/doc.go
+++ b/core/takeover/doc.go
@@ -12,6 +12,6 @@
 // # Usage
 //
 //	if takeover.Judge(evidence) == takeover.Replace {
-//		candidate, possible := takeover.Choose(candidates, members, syncReplicas)
+//		candidate, possible := takeover.Choose(candidates, takeover.Needs{Replicas: 2, Term: group.Term})
 //	}
 package takeover
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -87,7 +87,7 @@
 			candidates = append(candidates, replicas[i])
 		}
 
-		chosen, possible := takeover.Choose(candidates, members, sync)
+		chosen, possible := takeover.Choose(candidates, takeover.Needs{Replicas: members, SyncReplicas: sync})
 		if !possible {
 			return
 		}
@@ -108,10 +108,26 @@
 		{ID: "a", Received: position.Position{Term: 1, LSN: 9}, Leaving: true},
 		{ID: "b", Received: position.Position{Term: 1, LSN: 7}},
 		{ID: "c", Received: position.Position{Term: 1, LSN: 8}},
-	}, 3, 0)
+	}, takeover.Needs{Replicas: 3})
 	assert.True(t, possible)
 	assert.Equal(t, "c", chosen)
 
-	_, possible = takeover.Choose(nil, 2, 0)
+	_, possible = takeover.Choose(nil, takeover.Needs{Replicas: 2})
+	assert.False(t, possible)
+}
+
+// Guards against a former primary that was cut off during a takeover and is promoted in the next one: it would bring back
+// what the first takeover has discarded and discard what was acknowledged since. Seen on teranga-postal-grown, trouble-1.
+func TestChooseIgnoresServersOfAnOlderTerm(t *testing.T) {
+	t.Parallel()
+
+	former := takeover.Candidate{ID: "former", Term: 1, Received: position.Position{Term: 1, LSN: 165}}
+	follower := takeover.Candidate{ID: "follower", Term: 2, Received: position.Position{Term: 1, LSN: 160}}
+
+	chosen, possible := takeover.Choose([]takeover.Candidate{former, follower}, takeover.Needs{Replicas: 2, Term: 2})
+	assert.True(t, possible)
+	assert.Equal(t, "follower", chosen)
+
+	_, possible = takeover.Choose([]takeover.Candidate{former}, takeover.Needs{Replicas: 2, Term: 2})
 	assert.False(t, possible)
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -63,6 +63,9 @@
 // Changed implements Log.
 func (l *soloLog) Changed() <-chan struct{} { return l.changed }
 
+// Seek implements Log.
+func (l *soloLog) Seek(context.Context, []netip.AddrPort) error { return nil }
+
 // Status implements Log.
 func (l *soloLog) Status() consensus.Status { return consensus.Status{Term: 7} }
 
@@ -72,10 +75,15 @@
 	primary string
 	held    map[string]position.LSN
 	down    map[string]bool
-	orders  []Order
+	// terms are the newest terms that the servers know, and busy those that have no room to say anything.
+	terms  map[string]position.Term
+	busy   map[string]bool
+	orders []Order
 	// outcomes are the answers to the next orders; late orders are carried out without an answer.
 	outcomes []Promotion
 	late     bool
+	// cut is a former primary that was cut off from the group.
+	cut string
 }
 
 type probeConn struct {
@@ -103,8 +111,13 @@
 		return nil, &gateway.OutcomeError{Outcome: gateway.WrongServer}
 	}
 
+	if p.servers.busy[p.id] {
+		return []gateway.Answer{{Outcome: gateway.Busy}}, nil
+	}
+
 	return []gateway.Answer{{Status: &gateway.ServerStatus{
-		Primary: p.servers.primary == p.id, Received: position.Position{Term: 1, LSN: p.servers.held[p.id]},
+		Primary: p.servers.claims(p.id), Term: p.servers.terms[p.id],
+		Received: position.Position{Term: 1, LSN: p.servers.held[p.id]},
 	}}}, nil
 }
 
@@ -126,12 +139,29 @@
 	}
 
 	if outcome == Accepted || outcome == Unanswered && s.late {
-		s.primary = order.Server
+		s.lead(order.Server)
 	}
 
 	return outcome, nil
 }
 
+// lead makes a server lead the next term, of which those that are down don't hear.
+func (s *servers) lead(id string) {
+	next := s.terms[s.primary] + 1
+	s.primary = id
+
+	for other := range s.terms {
+		if !s.down[other] {
+			s.terms[other] = next
+		}
+	}
+}
+
+// claims reports whether a server takes itself for the primary: a former one that was cut off goes on doing so.
+func (s *servers) claims(id string) bool {
+	return s.primary == id || s.cut == id
+}
+
 func (s *servers) given() []Order {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -153,7 +183,8 @@
 	state := deployment.NewState()
 	f := &fixture{
 		t: t, log: &soloLog{state: state, changed: make(chan struct{})},
-		servers: &servers{primary: "a", held: map[string]position.LSN{"a": 9, "b": 5, "c": 7}, down: map[string]bool{}},
+		servers: &servers{primary: "a", held: map[string]position.LSN{"a": 9, "b": 5, "c": 7}, down: map[string]bool{},
+			terms: map[string]position.Term{"a": 1, "b": 1, "c": 1}, busy: map[string]bool{}},
 	}
 	clock := timer.New()
 	f.controller = New(Options{
@@ -380,3 +411,86 @@
 		return known && seen.Position.LSN == 9 && seen.Age > 0 && seen.Age < time.Since(began)+positionTime
 	}, 10*time.Second, time.Millisecond)
 }
+
+// Guards against a former primary that was cut off during a takeover and is promoted in the next one because it says that
+// it leads, or because it has the highest position. Seen on teranga-postal-grown, trouble-1: reads at the primary between
+// the two lacked commits which came back.
+func TestFormerPrimaryIsNotPromoted(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		name string
+		cut  string
+	}{
+		{"takes itself for the primary", "a"},
+		{"has become a replica", ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFixture(t)
+			f.awaitPrimary("a")
+
+			f.servers.mutex.Lock()
+			f.servers.down["a"] = true
+			f.servers.mutex.Unlock()
+			f.awaitPrimary("c")
+
+			f.servers.mutex.Lock()
+			f.servers.cut, f.servers.down["a"], f.servers.down["c"] = test.cut, false, true
+			f.servers.mutex.Unlock()
+			f.awaitPrimary("b")
+		})
+	}
+}
+
+// Guards against a replica that is promoted without knowing its position, because it had no room to tell it. Seen on
+// teranga-postal-grown, trouble-1, where servers were over their connection limit.
+func TestReplicaOfUnknownPositionIsNotPromoted(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.awaitPrimary("a")
+
+	f.servers.mutex.Lock()
+	f.servers.down["a"], f.servers.busy["b"], f.servers.busy["c"] = true, true, true
+	f.servers.mutex.Unlock()
+
+	require.Eventually(t, func() bool { return f.group().Phase == deployment.Fencing }, 20*time.Second, time.Millisecond)
+
+	// The only server that tells its position is taken, though another one may be ahead.
+	f.servers.mutex.Lock()
+	f.servers.busy["b"] = false
+	f.servers.mutex.Unlock()
+	f.awaitPrimary("b")
+
+	for _, order := range f.servers.given() {
+		assert.Equal(t, "b", order.Server)
+	}
+}
+
+// Guards against a takeover that never ends, and so repeats its order, because the new primary has no room to answer a
+// probe. Seen on teranga-postal-grown, trouble-1: seven promotions of one group in 30 s.
+func TestPrimaryWithoutRoomIsRecognized(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.awaitPrimary("a")
+
+	f.servers.mutex.Lock()
+	f.servers.down["a"] = true
+	f.servers.mutex.Unlock()
+
+	require.Eventually(t, func() bool {
+		f.servers.mutex.Lock()
+		defer f.servers.mutex.Unlock()
+
+		f.servers.busy["c"] = len(f.servers.orders) > 0
+
+		return f.servers.busy["c"]
+	}, 20*time.Second, time.Millisecond)
+
+	f.announce("c", func(server *deployment.Server) { server.Claims = true })
+	f.awaitPrimary("c")
+	assert.Len(t, f.servers.given(), 1)
+}
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -13,6 +13,7 @@
 	"almondgrade/core/position"
 	"almondgrade/core/result"
 	"almondgrade/core/share"
+	"almondgrade/core/timer"
 	iofleet "almondgrade/io/fleet"
 )
 
@@ -131,17 +132,7 @@
 
 // pause waits. It is false if the context ended.
 func (l *leadership) pause(ctx context.Context, delay time.Duration) bool {
-	passed := make(chan struct{})
-	stop := l.controller.options.Timer.After(delay, func(time.Time) { close(passed) })
-
-	defer stop()
-
-	select {
-	case <-passed:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return timer.Sleep(ctx, delay) == nil
 }
 
 // refresh renews the view if anything in it has changed, starts the stewards of new groups and removes servers that
--- a/internal/fleet/prober.go
+++ b/internal/fleet/prober.go
@@ -1,21 +1,32 @@
 package fleet
 
 import (
+	"context"
 	"errors"
 	"syscall"
 	"time"
 
 	"almondgrade/core/deployment"
 	"almondgrade/core/position"
+	"almondgrade/core/timer"
 	"almondgrade/internal/gateway"
 )
 
+const (
+	// probeRepeats is the number of further probes of a server without room, and probePause the pause before each. A
+	// server works off its queue in about 0.1 s.
+	probeRepeats = 5
+	probePause   = 30 * time.Millisecond
+)
+
 // finding is what a probe of a server has shown.
 type finding struct {
 	answered bool
 	// busy is true if the server answered that it has no room; nothing else is known then.
 	busy    bool
 	primary bool
+	// term is the newest term that the server knows, or zero if it told nothing of itself.
+	term position.Term
 	// position is the last position that the server has received.
 	position position.Position
 	// fresh is true if the connection was opened for the probe.
@@ -93,11 +104,26 @@
 		return r
 	}
 
-	r.primary, r.position = answer.Status.Primary, answer.Status.Received
+	r.primary, r.term, r.position = answer.Status.Primary, answer.Status.Term, answer.Status.Received
 
 	return r
 }
 
+// insist probes a server again while it has no room for the question, which may take a few tries under load.
+func (p *prober) insist(ctx context.Context, server deployment.Server) finding {
+	seen := p.probe(server, true)
+
+	for range probeRepeats {
+		if !seen.busy || timer.Sleep(ctx, probePause) != nil {
+			break
+		}
+
+		seen = p.probe(server, false)
+	}
+
+	return seen
+}
+
 // keep closes the connections to all but one server.
 func (p *prober) keep(id string) {
 	for other := range p.conns {
--- a/internal/fleet/steward.go
+++ b/internal/fleet/steward.go
@@ -27,6 +27,8 @@
 	detector   *failover.Detector
 	// watched is the primary that the detector is about.
 	watched string
+	// lacking is the time since which the present takeover has found no server of the newest term.
+	lacking time.Time
 }
 
 func newSteward(l *leadership, group string) *steward {
@@ -71,7 +73,8 @@
 		}
 
 		seen := s.prober.probe(server, true)
-		if seen.answered && seen.primary && (found == "" || best.position.Less(seen.position)) {
+		// A former primary that is cut off from the group still takes itself for the primary.
+		if seen.primary && seen.term >= group.Term && (found == "" || seen.term > best.term) {
 			found, best = id, seen
 		}
 	}
@@ -81,10 +84,10 @@
 	}
 
 	_, err := s.leadership.controller.propose(s.leadership.ctx, deployment.Command{
-		Adopt: &deployment.Adopt{Group: s.group, Primary: found, Former: group.Primary},
+		Adopt: &deployment.Adopt{Group: s.group, Primary: found, Former: group.Primary, Term: best.term},
 	})
-	s.logger().Info("primary adopted", "group", s.group, "primary", found, "former", group.Primary, "position",
-		best.position, "error", err)
+	s.logger().Info("primary adopted", "group", s.group, "primary", found, "former", group.Primary, "term",
+		best.term, "position", best.position, "error", err)
 	s.leadership.refresh(time.Now())
 }
 
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -26,6 +26,9 @@
 	unansweredTime = 1200 * time.Millisecond
 	// promotionInterval is the time between two questions whether the candidate leads.
 	promotionInterval = 60 * time.Millisecond
+	// outdatedTime is the time for which a takeover waits for a server of the newest term, longer than VMs and members are
+	// usually away. After it, the loss of what that term acknowledged is taken to be final.
+	outdatedTime = 15 * time.Second
 )
 
 // takeOver leads the group from its present phase to a new primary. It may return early; the next step goes on.
@@ -33,6 +36,8 @@
 	options := s.leadership.controller.options
 	defer s.prober.keep("")
 
+	s.lacking = time.Time{}
+
 	if group := options.State.View().Groups[s.group]; group.Phase == deployment.Fencing {
 		if !s.fence(group) {
 			return
@@ -106,25 +111,32 @@
 // choose records the candidate and returns the token of the order, or zero.
 func (s *steward) choose(view *deployment.View, group deployment.Group) (token uint64, chosen deployment.Server) {
 	replicas := s.replicas(view, group)
-	candidates, leader := s.gather(replicas)
+	needs := takeover.Needs{Replicas: len(replicas), Term: group.Term}
 
+	candidates, leader := s.gather(group, replicas)
 	if leader != "" {
 		// An earlier order was carried out late. A new one for the same server changes nothing and keeps orders that
 		// are still under way from being carried out.
-		candidates = []takeover.Candidate{{ID: leader}}
+		candidates = []takeover.Candidate{{ID: leader, Term: group.Term}}
 	} else if group.Planned {
 		candidates = s.settle(view, group, replicas, candidates)
 	}
 
-	sync := 0
 	if settings, known := groupSettings(view, s.group); known && leader == "" {
-		sync = settings.SyncReplicas
+		needs.SyncReplicas = settings.SyncReplicas
+	}
+
+	id, possible := takeover.Choose(candidates, needs)
+	if !possible && len(candidates) > 0 && s.outdated(time.Now()) {
+		s.logger().Warn("only servers of an older term have answered for long; one of them is promoted", "group", s.group,
+			"needs", needs, "candidates", candidates)
+
+		needs.Term = 0
+		id, possible = takeover.Choose(candidates, needs)
 	}
 
-	id, possible := takeover.Choose(candidates, len(replicas), sync)
 	if !possible {
-		s.logger().Warn("no server can be promoted", "group", s.group, "replicas", len(replicas), "answered",
-			len(candidates), "sync", sync)
+		s.logger().Warn("no server can be promoted", "group", s.group, "needs", needs, "candidates", candidates)
 
 		return 0, deployment.Server{}
 	}
@@ -144,6 +156,15 @@
 	return answer.Number, view.Servers[id]
 }
 
+// outdated reports whether the takeover has waited long enough for a server of the newest term.
+func (s *steward) outdated(now time.Time) bool {
+	if s.lacking.IsZero() {
+		s.lacking = now
+	}
+
+	return now.Sub(s.lacking) > outdatedTime
+}
+
 // replicas returns the servers of the group but the former primary. During a takeover whose order failed, the former
 // primary may be promoted as well: for itself, the order changes nothing.
 func (s *steward) replicas(view *deployment.View, group deployment.Group) []deployment.Server {
@@ -158,8 +179,11 @@
 	return replicas
 }
 
-// gather asks the replicas for their positions, all at once. Leader is the one that says that it leads.
-func (s *steward) gather(replicas []deployment.Server) (candidates []takeover.Candidate, leader string) {
+// gather asks the replicas for their positions, all at once. One whose position is not known is no candidate: promoting
+// it could discard any number of commits. Leader is the one that leads a newer term than the former primary.
+func (s *steward) gather(
+	group deployment.Group, replicas []deployment.Server,
+) (candidates []takeover.Candidate, leader string) {
 	findings := make([]finding, len(replicas))
 
 	var asked errgroup.Group
@@ -169,11 +193,7 @@
 			single := newProber(s.leadership.controller.options.Dial)
 			defer single.close()
 
-			findings[i] = single.probe(replica, true)
-			// A server that had no room for the question is asked once more.
-			if findings[i].busy {
-				findings[i] = single.probe(replica, false)
-			}
+			findings[i] = single.insist(s.leadership.ctx, replica)
 
 			return nil
 		})
@@ -182,18 +202,19 @@
 	_ = asked.Wait() // The functions return no errors.
 
 	for i, seen := range findings {
-		if seen.primary {
+		if seen.primary && seen.term > group.Term {
 			leader = replicas[i].ID
 		}
 
-		if !seen.answered {
-			s.logger().Info("replica did not answer", "group", s.group, "server", replicas[i].ID, "error", seen.err)
+		if !seen.answered || seen.busy {
+			s.logger().Info("replica did not tell its position", "group", s.group, "server", replicas[i].ID, "busy", seen.busy,
+				"error", seen.err)
 
 			continue
 		}
 
 		candidates = append(candidates, takeover.Candidate{
-			ID: replicas[i].ID, Received: seen.position, Leaving: replicas[i].Leaving,
+			ID: replicas[i].ID, Term: seen.term, Received: seen.position, Leaving: replicas[i].Leaving,
 		})
 	}
 
@@ -223,7 +244,7 @@
 			return candidates
 		}
 
-		candidates, _ = s.gather(replicas)
+		candidates, _ = s.gather(group, replicas)
 	}
 
 	return candidates
@@ -262,39 +283,46 @@
 	case Unanswered:
 	}
 
-	view := options.State.View()
-
-	group := view.Groups[s.group]
-	if group.Token == token && s.leads(view, group, wait) {
-		s.finish(group)
+	group := options.State.View().Groups[s.group]
+	if group.Token != token {
+		return
 	}
-}
 
-// leads waits until the candidate says that it leads.
-func (s *steward) leads(view *deployment.View, group deployment.Group, wait time.Duration) bool {
-	candidate, known := view.Servers[group.Candidate]
-	if !known {
-		return false
+	if term := s.awaitLead(group, candidate, outcome, wait); term > 0 {
+		s.finish(group, term)
 	}
+}
 
+// awaitLead waits until the candidate says that it leads, in answer to a probe or, after an accepted order, by an
+// announcement of the change: a server without room answers no probe. It returns the term, or a lower bound of it, or
+// zero if the candidate doesn't lead.
+func (s *steward) awaitLead(
+	group deployment.Group, candidate deployment.Server, outcome Promotion, wait time.Duration,
+) position.Term {
 	for began := time.Now(); time.Since(began) < wait; {
-		if seen := s.prober.probe(candidate, false); seen.primary {
-			return true
+		if seen := s.prober.probe(candidate, false); seen.primary && seen.term > group.Term {
+			return seen.term
+		}
+
+		announced := s.leadership.controller.options.State.View().Servers[candidate.ID]
+		if outcome == Accepted && announced.Claims && !candidate.Claims {
+			return group.Term + 1
 		}
 
 		if !s.leadership.pause(s.leadership.ctx, promotionInterval) {
-			return false
+			break
 		}
 	}
 
-	return false
+	return 0
 }
 
-func (s *steward) finish(group deployment.Group) {
+func (s *steward) finish(group deployment.Group, term position.Term) {
 	_, err := s.leadership.controller.propose(s.leadership.ctx, deployment.Command{
-		Finish: &deployment.Finish{Group: s.group, Token: group.Token, Primary: group.Candidate},
+		Finish: &deployment.Finish{Group: s.group, Token: group.Token, Primary: group.Candidate, Term: term},
 	})
-	s.logger().Warn("takeover ends", "group", s.group, "primary", group.Candidate, "token", group.Token, "error", err)
+	s.logger().Warn("takeover ends", "group", s.group, "primary", group.Candidate, "token", group.Token, "term", term,
+		"error", err)
 	s.leadership.refresh(time.Now())
 }
 
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -5,6 +5,8 @@
 // ServerStatus is what a backend server says of itself.
 type ServerStatus struct {
 	Primary bool
+	// Term is the newest term that it knows.
+	Term position.Term
 	// Received is the last position of its log.
 	Received position.Position
 }
