internal/gateway, core/placement: proxies forward to holders where a server accepts fewer connections than there are proxies

Each try costs a server 12 ms of a slot, control's probes were turned away as well, and takeovers never ended.

Change: core/placement chooses two holders a group in each data centre by rendezvous hashing where two connections for each proxy would exceed the limit. The leader puts them into the view; other proxies hold no connection to the group and forward each statement to a holder, in the same data centre if possible, with all that the holder has to know of the session. A holder keeps the transactions of other proxies' callers and rolls them back after the idle time. A statement that may have run is sent again only if it may run twice.

Ruled out: forwarding whole sessions as bytes (a lost holder would break every session, and the proxy could not tell which statements may be repeated); connections opened for each statement (12 ms of a slot each); shares of less than one connection by time (a proxy without one has to wait for the next share).

--- /dev/null
+++ b/core/placement/holders_test.go
@@ -0,0 +1,86 @@
+package placement_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"almondgrade/core/placement"
+)
+
+func proxies(count int) []placement.Proxy {
+	all := make([]placement.Proxy, count)
+	for i := range all {
+		all[i] = placement.Proxy{
+			Name: fmt.Sprintf("proxy-%d", i), Centre: string(rune('a' + i%3)),
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i % 3), byte(i)}), 7441),
+		}
+	}
+
+	return all
+}
+
+// Guards against servers that turn connections away because every proxy holds one. The naive version, one connection for
+// each proxy, needs 89 of the 56 that a server of teranga-postal-grown has left.
+func TestHoldersFitTheConnections(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		proxies, connections, holders int
+	}{
+		{10, 32, 0},
+		{12, 38, 0},
+		{89, 56, 6},
+		{300, 56, 6},
+		{30, 56, 6},
+		{28, 56, 0},
+		{0, 56, 0},
+	} {
+		holders := placement.Holders("g", test.connections, proxies(test.proxies))
+		assert.Len(t, holders, test.holders, "%d proxies, %d connections", test.proxies, test.connections)
+
+		perCentre := map[string]int{}
+		for _, holder := range holders {
+			perCentre[holder.Centre]++
+		}
+
+		for centre, count := range perCentre {
+			assert.Equal(t, 2, count, centre)
+		}
+	}
+}
+
+// Guards against holders that all move when one proxy leaves, and against a proxy that holds the connections of most
+// groups.
+func TestHoldersMoveLittle(t *testing.T) {
+	t.Parallel()
+
+	all := proxies(89)
+	groups := make(map[string]int)
+
+	for g := range 8 {
+		group := fmt.Sprintf("group-%d", g)
+		before := placement.Holders(group, 56, all)
+		without := slices.DeleteFunc(slices.Clone(all), func(p placement.Proxy) bool { return p == before[0] })
+		after := placement.Holders(group, 56, without)
+
+		kept := 0
+
+		for _, holder := range before {
+			groups[holder.Name]++
+
+			if slices.Contains(after, holder) {
+				kept++
+			}
+		}
+
+		assert.Equal(t, len(before)-1, kept, group)
+	}
+
+	for name, count := range groups {
+		assert.LessOrEqual(t, count, 4, name)
+	}
+}
--- a/internal/deployed/control.go
+++ b/internal/deployed/control.go
@@ -225,7 +225,16 @@
 
 // dial connects to another process of the system.
 func dial(address netip.AddrPort) (*grpc.ClientConn, error) {
-	connection, err := grpc.NewClient("passthrough:///"+address.String(),
+	return connect(address)
+}
+
+// dialProxy connects to another proxy. Statements are small, and a proxy has many such connections.
+func dialProxy(address netip.AddrPort) (*grpc.ClientConn, error) {
+	return connect(address, grpc.WithReadBufferSize(peerBuffer), grpc.WithWriteBufferSize(peerBuffer))
+}
+
+func connect(address netip.AddrPort, options ...grpc.DialOption) (*grpc.ClientConn, error) {
+	options = append(options,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
@@ -236,6 +245,7 @@
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageLimit)),
 	)
+	connection, err := grpc.NewClient("passthrough:///"+address.String(), options...)
 
 	return connection, eris.Wrapf(err, "connect to %s", address)
 }
--- a/internal/deployed/proxy.go
+++ b/internal/deployed/proxy.go
@@ -4,11 +4,15 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+
 	"almondgrade/core/timer"
 	"almondgrade/internal/gateway"
 	"almondgrade/internal/metrics"
@@ -30,12 +34,17 @@
 	// above which it works harder.
 	collectPercent = 50
 	memoryShare    = 0.6
+	// peerBuffer is the size in bytes of the buffers of a connection between proxies. A statement takes a few hundred, and
+	// a proxy has up to a hundred connections.
+	peerBuffer = 2 << 10
 )
 
 // ProxyOptions describe a Proxy.
 type ProxyOptions struct {
 	Name   string
 	Centre string
+	// Address is where the proxy takes statements from other proxies.
+	Address netip.AddrPort
 	// Control returns the addresses of control processes to begin with. It is called again while none is reached.
 	Control func() []netip.AddrPort
 	Dial    gateway.Dialer
@@ -48,21 +57,42 @@
 
 // Proxy is a proxy process.
 type Proxy struct {
-	options ProxyOptions
-	clock   *timer.Clock
-	gateway *gateway.Gateway
-	metrics *metrics.Metrics
+	options  ProxyOptions
+	clock    *timer.Clock
+	gateway  *gateway.Gateway
+	metrics  *metrics.Metrics
+	listener net.Listener
+	peers    *fleet.Peers
 }
 
 // NewProxy returns a proxy that is not ready yet.
-func NewProxy(options ProxyOptions) *Proxy {
+func NewProxy(options ProxyOptions) (*Proxy, error) {
 	limitMemory(options.Memory)
 
-	clock, counts := timer.New(), metrics.New()
+	listener, err := net.Listen("tcp", options.Address.String())
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for other proxies")
+	}
+
+	created := &Proxy{
+		options: options, clock: timer.New(), metrics: metrics.New(), listener: listener,
+		peers: fleet.NewPeers(dialProxy, options.Logger),
+	}
+	created.gateway = gateway.New(gateway.Options{
+		Name: options.Name, Dial: options.Dial, Forward: created.forward, Centre: options.Centre, Logger: options.Logger,
+		Metrics: created.metrics, Timer: created.clock,
+	})
 
-	return &Proxy{options: options, clock: clock, metrics: counts, gateway: gateway.New(gateway.Options{
-		Dial: options.Dial, Centre: options.Centre, Logger: options.Logger, Metrics: counts, Timer: clock,
-	})}
+	return created, nil
+}
+
+// forward sends a statement to another proxy.
+func (p *Proxy) forward(
+	ctx context.Context, to netip.AddrPort, forwarded *gateway.Forwarded,
+) (*gateway.ForwardReply, error) {
+	reply := new(gateway.ForwardReply)
+
+	return reply, p.peers.Call(ctx, to, forwarded, reply)
 }
 
 func limitMemory(limit int64) {
@@ -81,9 +111,16 @@
 }
 
 // Run follows control until the context ends. It then finishes what is in progress and returns.
-func (p *Proxy) Run(ctx context.Context) {
+func (p *Proxy) Run(ctx context.Context) error {
 	p.options.Logger.Info("proxy starts", "centre", p.options.Centre)
 
+	server := grpc.NewServer(grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
+	fleet.RegisterForward(server, p.gateway.Forward)
+
+	ended := make(chan error, 1)
+
+	go func() { ended <- server.Serve(p.listener) }()
+
 	following, stop := context.WithCancel(context.Background())
 	followed := make(chan struct{})
 
@@ -97,9 +134,13 @@
 	p.drain()
 	stop()
 	<-followed
+	server.Stop()
 	p.gateway.Close()
+	p.peers.Close()
 	p.clock.Close()
 	p.options.Logger.Info("proxy ends")
+
+	return eris.Wrap(<-ended, "serve other proxies")
 }
 
 // follow calls control without a pause and applies what it says.
@@ -116,7 +157,7 @@
 
 		reply, err := client.Sync(ctx, &fleet.SyncRequest{
 			Proxy: p.options.Name, Instance: instance, Applied: version, Configuration: number, Sights: p.gateway.Sights(),
-			Demands: p.gateway.Demands(),
+			Demands: p.gateway.Demands(), Centre: p.options.Centre, Address: p.options.Address, Leaving: p.gateway.Leaving(),
 		})
 		if err != nil {
 			if reached && ctx.Err() == nil {
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -10,6 +10,7 @@
 	"almondgrade/core/container"
 	"almondgrade/core/deployment"
 	"almondgrade/core/lease"
+	"almondgrade/core/placement"
 	"almondgrade/core/position"
 	"almondgrade/core/result"
 	"almondgrade/core/share"
@@ -28,6 +29,12 @@
 	positionTime = 2 * time.Second
 	// sightTime is the age up to which a proxy's report counts.
 	sightTime = 1500 * time.Millisecond
+	// placeTime is the time after the beginning of a leadership in which each proxy has called: half of it is a call that
+	// another process holds.
+	placeTime = 400 * time.Millisecond
+	// peerTime is the time after its last call for which a proxy stays a holder. A call is held for holdTime; a restart
+	// takes about a second.
+	peerTime = time.Second
 )
 
 // heard is the last announcement of a server.
@@ -43,6 +50,12 @@
 	sights []iofleet.Sight
 }
 
+// peer is a proxy that takes statements from others.
+type peer struct {
+	proxy placement.Proxy
+	at    time.Time
+}
+
 // leadership is the soft state of one term as leader. It is safe for concurrent use.
 type leadership struct {
 	controller *Controller
@@ -58,6 +71,8 @@
 	// ended are the servers that were withdrawn, with their last announcement.
 	ended   map[string]heard
 	reports map[string]report
+	// peers are the proxies that take statements from others.
+	peers map[string]peer
 	// confirmed is the beginning of the last proof that this process led.
 	confirmed time.Time
 	view      iofleet.View
@@ -82,7 +97,7 @@
 
 	return &leadership{
 		controller: c, term: term, ctx: ctx, cancel: cancel, began: now, leases: lease.New(now, leaseTime),
-		heard: make(map[string]heard), ended: make(map[string]heard), reports: make(map[string]report),
+		heard: make(map[string]heard), ended: make(map[string]heard), reports: make(map[string]report), peers: make(map[string]peer),
 		changed: make(chan struct{}), stewards: make(container.Set[string]),
 		shares: make(map[string]*share.Table), positions: make(map[string]sighting),
 	}
@@ -153,7 +168,8 @@
 	next := l.compose(now, state)
 
 	same := l.index == state.Index && slices.Equal(next.Servers, l.view.Servers) && next.Proxies == l.view.Proxies &&
-		slices.Equal(next.Control, l.view.Control) && l.view.Version.Number > 0
+		slices.Equal(next.Control, l.view.Control) && next.Placed == l.view.Placed &&
+		maps.EqualFunc(next.Holders, l.view.Holders, slices.Equal) && l.view.Version.Number > 0
 	if !same {
 		next.Version = iofleet.Version{Term: l.term, Number: l.view.Version.Number + 1}
 		l.view, l.index = next, state.Index
@@ -167,6 +183,7 @@
 // compose returns the present view without a version. The mutex is held.
 func (l *leadership) compose(now time.Time, state *deployment.View) iofleet.View {
 	next := iofleet.View{Proxies: l.leases.Holders(now), Control: l.controller.Control()}
+	next.Placed, next.Holders = l.place(now, state)
 
 	for _, name := range slices.Sorted(maps.Keys(state.Groups)) {
 		next.Groups = append(next.Groups, state.Groups[name])
@@ -182,6 +199,50 @@
 	return next
 }
 
+// place chooses the holders of each group. It is not done before the proxies are known. The mutex is held.
+func (l *leadership) place(now time.Time, state *deployment.View) (placed bool, holders map[string][]placement.Proxy) {
+	if now.Sub(l.began) < placeTime {
+		return false, nil
+	}
+
+	proxies := make([]placement.Proxy, 0, len(l.peers))
+
+	for name, one := range l.peers {
+		if now.Sub(one.at) > peerTime {
+			delete(l.peers, name)
+
+			continue
+		}
+
+		proxies = append(proxies, one.proxy)
+	}
+
+	for _, settings := range state.Configuration.Groups {
+		if chosen := placement.Holders(settings.Name, settings.Connections-share.Reserve, proxies); chosen != nil {
+			if holders == nil {
+				holders = make(map[string][]placement.Proxy)
+			}
+
+			holders[settings.Name] = chosen
+		}
+	}
+
+	return true, holders
+}
+
+// meet notes a proxy that takes statements from others. The mutex is held.
+func (l *leadership) meet(now time.Time, request *iofleet.SyncRequest) {
+	if request.Leaving || !request.Address.IsValid() {
+		delete(l.peers, request.Proxy)
+
+		return
+	}
+
+	l.peers[request.Proxy] = peer{at: now, proxy: placement.Proxy{
+		Name: request.Proxy, Centre: request.Centre, Address: request.Address,
+	}}
+}
+
 func (l *leadership) silentTime() time.Duration {
 	return time.Duration(silentIntervals * float64(l.controller.options.Announce))
 }
@@ -234,6 +295,7 @@
 	if request.Stopping {
 		l.leases.Release(holder)
 		delete(l.reports, request.Proxy)
+		delete(l.peers, request.Proxy)
 		l.mutex.Unlock()
 
 		return &iofleet.SyncReply{Lease: 1}, nil
@@ -250,6 +312,7 @@
 	if now := time.Now(); request.Proxy != "" {
 		l.leases.Grant(now, holder, applied)
 		l.reports[request.Proxy] = report{at: now, sights: request.Sights}
+		l.meet(now, request)
 		granted = l.divide(now, request)
 	}
 	l.mutex.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +35,11 @@
 
 // Options describe a Gateway.
 type Options struct {
+	// Name is the name of the proxy.
+	Name string
 	Dial Dialer
+	// Forward sends a statement to another proxy. It fails with fleet.ErrNotSent if that can't have got it.
+	Forward func(ctx context.Context, to netip.AddrPort, forwarded *Forwarded) (*ForwardReply, error)
 	// Centre is the data centre of the proxy.
 	Centre  string
 	Logger  *slog.Logger
@@ -56,12 +62,17 @@
 	confirmed atomic.Pointer[time.Time]
 	draining  atomic.Bool
 	sequence  atomic.Uint64
+	// forwards is the number of statements of other proxies' callers that are in progress.
+	forwards atomic.Int64
+	hearing  hearing
 
 	mutex    sync.Mutex
 	servers  map[string]*server
 	tracks   map[string]*track
 	sessions map[*session]struct{}
-	changed  chan struct{}
+	// guests are the open transactions of other proxies' callers.
+	guests  map[uint64]*guest
+	changed chan struct{}
 }
 
 // New returns a gateway that knows no configuration yet.
@@ -73,7 +84,7 @@
 	created := &Gateway{
 		options: options, budget: retry.NewBudget(retryShare, retry.DefaultWindow).WithFloor(retryFloor), names: newNames(),
 		servers: make(map[string]*server), tracks: make(map[string]*track), sessions: make(map[*session]struct{}),
-		changed: make(chan struct{}),
+		guests: make(map[uint64]*guest), changed: make(chan struct{}),
 	}
 	created.view.Store(&view{})
 	created.lease.Store(&time.Time{})
@@ -95,6 +106,11 @@
 	return now.Before(*g.lease.Load())
 }
 
+// Leaving reports whether a planned stop has begun.
+func (g *Gateway) Leaving() bool {
+	return g.draining.Load()
+}
+
 // Ready reports whether callers should come to this proxy: it knows a configuration, hears from control, and does not
 // stop. A proxy that is cut off from control soon has to refuse reads that others can serve. If all are, the load
 // balancer uses all.
@@ -110,8 +126,10 @@
 
 	var sights []fleet.Sight
 
-	for _, group := range g.view.Load().groups {
-		if group.primary != nil {
+	present := g.view.Load()
+
+	for name, group := range present.groups {
+		if group.primary != nil && !present.holders[name].remote() {
 			sights = append(sights, group.primary.sight(now))
 		}
 	}
@@ -145,8 +163,13 @@
 }
 
 // CloseIdle ends the sessions that are outside a transaction. With all, those in a transaction end as well; their
-// transactions are rolled back. It returns the number of sessions that are left.
+// transactions are rolled back, and so are those of other proxies' callers. It returns the number of sessions,
+// transactions and statements that are left.
 func (g *Gateway) CloseIdle(all bool) int {
+	if all {
+		g.dismiss(time.Now(), true)
+	}
+
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 
@@ -160,7 +183,7 @@
 		one.caller.Interrupt()
 	}
 
-	return len(g.sessions)
+	return len(g.sessions) + len(g.guests) + int(g.forwards.Load())
 }
 
 // Sessions returns the number of open sessions.
@@ -186,6 +209,8 @@
 // tend closes connections that were not used for a long time and opens a first one to servers that have none, a few at a
 // time, so that the first statements after a start do not all open connections at once.
 func (g *Gateway) tend(now time.Time) {
+	g.dismiss(now, false)
+
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"almondgrade/core/deployment"
+	"almondgrade/core/placement"
 	"almondgrade/core/position"
 	"almondgrade/core/result"
 	"almondgrade/core/timer"
@@ -163,6 +164,8 @@
 	mutex   sync.Mutex
 	version uint64
 	group   deployment.Group
+	// placed are the holders of the group, if not each proxy holds its own connections.
+	placed []placement.Proxy
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -234,9 +237,15 @@
 		}})
 	}
 
-	f.gateway.Apply(nil, &fleet.View{
+	view := &fleet.View{
 		Version: fleet.Version{Term: 1, Number: f.version}, Groups: []deployment.Group{f.group}, Servers: servers, Proxies: 1,
-	})
+		Placed: true,
+	}
+	if f.placed != nil {
+		view.Holders = map[string][]placement.Proxy{"g": f.placed}
+	}
+
+	f.gateway.Apply(nil, view)
 }
 
 // client is a Caller whose statements come from a test.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -72,6 +72,8 @@
 	pause  time.Duration
 	until  time.Time
 	closed bool
+	// retired is true while other proxies hold the connections to the server.
+	retired bool
 }
 
 // divide sets the limit to an equal part of what the server accepts, until control grants another one.
@@ -79,6 +81,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
+	p.retired = false
 	p.fair = max(1, int64(fairFactor*p.server.info.Load().Slots/max(1, proxies)))
 
 	if !p.granted {
@@ -89,6 +92,13 @@
 // grant sets the limit that control has granted.
 func (p *pool) grant(limit int) {
 	p.mutex.Lock()
+
+	if p.retired {
+		p.mutex.Unlock()
+
+		return
+	}
+
 	p.limit, p.granted = max(1, limit), true
 	p.wake()
 	surplus := p.surplus(func(*conn) bool { return p.open > p.limit })
@@ -97,6 +107,20 @@
 	closeAll(surplus)
 }
 
+// retire makes the pool hold no connections, because other proxies do. Those in use are closed when they are returned.
+func (p *pool) retire() {
+	p.mutex.Lock()
+	p.limit, p.granted, p.retired = 0, false, true
+	surplus := p.surplus(func(*conn) bool { return true })
+
+	for range p.waiting {
+		p.next().ready <- nil
+	}
+	p.mutex.Unlock()
+
+	closeAll(surplus)
+}
+
 // demand returns what the pool holds and wants, and begins a new period.
 func (p *pool) demand() share.Demand {
 	p.mutex.Lock()
@@ -160,6 +184,10 @@
 		return nil, nil, result.New(result.ServerUnreachable, "server %s is gone", p.server.id)
 	}
 
+	if p.retired {
+		return nil, nil, result.New(result.ServerUnreachable, "other proxies hold the connections to server %s", p.server.id)
+	}
+
 	now := time.Now()
 
 	if len(p.idle) > 0 && p.admits(now) {
@@ -396,7 +424,7 @@
 	defer p.mutex.Unlock()
 
 	now := time.Now()
-	if p.open > 0 || p.closed || now.Before(p.until) || p.server.unreachable(now) {
+	if p.open > 0 || p.closed || p.retired || now.Before(p.until) || p.server.unreachable(now) {
 		return false
 	}
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -202,8 +202,18 @@
 		return s.refuse(statement, err)
 	}
 
-	work := &work{session: s, pool: pool, command: command, needed: needed, deadline: time.Now().Add(pool.Timeout)}
-	if command.Writes {
+	if among := s.gateway.view.Load().holders[pool.Group]; among.remote() {
+		return s.forwardSingle(among.proxies, pool, command, needed)
+	}
+
+	return s.single(&work{
+		session: s, pool: pool, command: command, needed: needed, deadline: time.Now().Add(pool.Timeout),
+	})
+}
+
+// single runs a statement outside a transaction.
+func (s *session) single(work *work) Reply {
+	if work.command.Writes {
 		return work.write()
 	}
 
--- a/internal/gateway/statement.go
+++ b/internal/gateway/statement.go
@@ -30,16 +30,16 @@
 // Statement is a request of a caller.
 type Statement struct {
 	// ID identifies the request at the caller and on the backend server.
-	ID   string
-	Kind Kind
+	ID   string `cbor:"1,keyasint"`
+	Kind Kind   `cbor:"2,keyasint"`
 	// Text is the statement as the caller sent it.
-	Text string
+	Text string `cbor:"3,keyasint"`
 	// Name is the name of a value or a prepared statement.
-	Name string
+	Name string `cbor:"4,keyasint,omitempty"`
 	// Value is what Set stores, or the shape of a prepared statement.
-	Value string
+	Value string `cbor:"5,keyasint,omitempty"`
 	// Writes is true for Write, and for a Prepare of a statement that writes.
-	Writes bool
+	Writes bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Command is a statement for a backend server.
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondgrade/core/deployment"
+	"almondgrade/core/placement"
 	"almondgrade/core/result"
 )
 
@@ -30,6 +31,9 @@
 	group    *group
 	pool     deployment.Pool
 	wrote    bool
+	// holder is the other proxy that keeps the transaction, under a number; nil for one that this proxy keeps.
+	holder *placement.Proxy
+	number uint64
 }
 
 func (t *transaction) state() State {
@@ -119,9 +123,17 @@
 			return Reply{}
 		}
 
+		if among := s.gateway.view.Load().holders[s.tx.pool.Group]; among.remote() {
+			return s.forwardFirst(among.proxies, command, needed)
+		}
+
 		return s.first(command, needed)
 	}
 
+	if s.tx.holder != nil {
+		return s.forwardNext(command, needed)
+	}
+
 	return s.next(command, needed)
 }
 
@@ -292,7 +304,7 @@
 		return
 	}
 
-	s.gateway.options.Logger.Info("idle transaction rolled back", "database", s.database, "server", s.tx.server.id)
+	s.gateway.options.Logger.Info("idle transaction rolled back", "database", s.database)
 	s.gateway.count("idle_transactions")
 	s.rollback()
 	s.tx = transaction{phase: txAborted}
@@ -300,6 +312,10 @@
 
 // rollback ends an open transaction on the backend server.
 func (s *session) rollback() {
+	if s.tx.holder != nil {
+		s.leaveHolder()
+	}
+
 	if s.tx.conn == nil {
 		return
 	}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"almondgrade/core/deployment"
 	"almondgrade/core/freshness"
+	"almondgrade/core/placement"
 	"almondgrade/core/position"
 	"almondgrade/core/share"
 	"almondgrade/io/fleet"
@@ -19,6 +21,8 @@
 	pools         map[string]*deployment.Pool
 	groups        map[string]*group
 	control       *fleet.View
+	// holders are the holders of the groups of which not each proxy holds its own connections.
+	holders map[string]*holders
 }
 
 // group is a group of a view.
@@ -88,6 +92,10 @@
 
 	if control != nil {
 		next.version, next.control = control.Version, control
+
+		if control.Placed {
+			next.holders = g.holders(control)
+		}
 	}
 
 	if next.control != nil {
@@ -155,7 +163,21 @@
 	return groups
 }
 
-// size tells the pools how many connections they may hold. The mutex is held.
+// holders returns the holders of a view.
+func (g *Gateway) holders(control *fleet.View) map[string]*holders {
+	placed := make(map[string]*holders, len(control.Holders))
+
+	for group, proxies := range control.Holders {
+		placed[group] = &holders{proxies: proxies, self: slices.ContainsFunc(proxies, func(p placement.Proxy) bool {
+			return p.Name == g.options.Name
+		})}
+	}
+
+	return placed
+}
+
+// size tells the pools how many connections they may hold: none if other proxies hold those of the group. The mutex is
+// held.
 func (g *Gateway) size(next *view) {
 	if next.configuration == nil {
 		return
@@ -167,8 +189,18 @@
 	}
 
 	for name, within := range next.groups {
+		sharing, remote := next.control.Proxies, false
+
+		if placed := next.holders[name]; placed != nil {
+			sharing, remote = len(placed.proxies), placed.remote()
+		}
+
 		for _, one := range within.servers {
-			one.pool.divide(limits[name], next.control.Proxies)
+			if remote {
+				one.pool.retire()
+			} else {
+				one.pool.divide(limits[name], sharing)
+			}
 		}
 	}
 }
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"almondgrade/core/deployment"
@@ -28,7 +29,7 @@
 	command  Command
 	needed   *prepared
 	deadline time.Time
-	// began is the time of the first attempt.
+	// began is the time of the first attempt, or that at which another proxy got the statement.
 	began    time.Time
 	attempts int
 	// crowds counts the attempts that found a server without room, crowded is the server if the last one did.
@@ -113,7 +114,11 @@
 // again reports whether another attempt may be made, and waits before it.
 func (w *work) again() bool {
 	if w.attempts == 0 {
-		w.attempts, w.began = 1, time.Now()
+		w.attempts = 1
+
+		if w.began.IsZero() {
+			w.began = time.Now()
+		}
 
 		return true
 	}
@@ -363,13 +368,7 @@
 }
 
 func (w *work) avoided(id string) bool {
-	for _, avoided := range w.avoid {
-		if avoided == id {
-			return true
-		}
-	}
-
-	return false
+	return slices.Contains(w.avoid, id)
 }
 
 // lostError says that a statement was sent and not answered.
--- a/io/fleet/client.go
+++ b/io/fleet/client.go
@@ -42,15 +42,16 @@
 type Client struct {
 	options ClientOptions
 
+	conns *connections
+
 	mutex   sync.Mutex
 	known   []netip.AddrPort
 	present netip.AddrPort
-	conns   map[netip.AddrPort]*grpc.ClientConn
 }
 
 // NewClient returns a client, which connects at its first call.
 func NewClient(options ClientOptions) *Client {
-	client := &Client{options: options, conns: make(map[netip.AddrPort]*grpc.ClientConn)}
+	client := &Client{options: options, conns: newConnections(options.Dial, options.Logger)}
 	client.Learn(nil)
 
 	return client
@@ -147,59 +148,23 @@
 
 // Close ends all connections.
 func (c *Client) Close() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-
-	for address := range c.conns {
-		c.drop(address)
-	}
+	c.conns.close()
 }
 
 func (c *Client) invoke(ctx context.Context, to netip.AddrPort, method string, request, reply any) error {
-	connection, err := c.connection(to)
+	connection, err := c.conns.get(to)
 	if err != nil {
 		return err
 	}
 
 	err = connection.Invoke(ctx, prefix+method, request, reply, grpc.ForceCodec(codec{}))
 	if err != nil {
-		c.mutex.Lock()
-		if c.conns[to] == connection {
-			c.drop(to)
-		}
-		c.mutex.Unlock()
+		c.conns.drop(to, connection)
 	}
 
 	return eris.Wrapf(err, "call %s of control process %s", method, to)
 }
 
-func (c *Client) connection(to netip.AddrPort) (*grpc.ClientConn, error) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-
-	if present := c.conns[to]; present != nil {
-		return present, nil
-	}
-
-	connection, err := c.options.Dial(to)
-	if err != nil {
-		return nil, err
-	}
-
-	c.conns[to] = connection
-
-	return connection, nil
-}
-
-// drop closes a connection. The mutex is held.
-func (c *Client) drop(address netip.AddrPort) {
-	if err := c.conns[address].Close(); err != nil {
-		c.options.Logger.Debug("connection to control did not close cleanly", "address", address, "error", err)
-	}
-
-	delete(c.conns, address)
-}
-
 // Present returns the control process that the next call goes to: the leader, if the last one succeeded.
 func (c *Client) Present() netip.AddrPort {
 	c.mutex.Lock()
--- a/io/fleet/message.go
+++ b/io/fleet/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondgrade/core/deployment"
+	"almondgrade/core/placement"
 	"almondgrade/core/position"
 	"almondgrade/core/result"
 	"almondgrade/core/share"
@@ -36,6 +37,11 @@
 	Sights        []Sight `cbor:"5,keyasint,omitempty"`
 	// Demands are the connections that the proxy holds and wants, by server.
 	Demands map[string]share.Demand `cbor:"7,keyasint,omitempty"`
+	// Centre is the proxy's data centre, and Address where it takes statements from other proxies.
+	Centre  string         `cbor:"8,keyasint,omitempty"`
+	Address netip.AddrPort `cbor:"9,keyasint,omitempty"`
+	// Leaving is true for a proxy that is about to stop.
+	Leaving bool `cbor:"10,keyasint,omitempty"`
 	// Stopping is true in the last call of a proxy, which holds no lease any more.
 	Stopping bool `cbor:"6,keyasint,omitempty"`
 }
@@ -56,6 +62,11 @@
 	Proxies int `cbor:"4,keyasint"`
 	// Control are the addresses of the control processes.
 	Control []netip.AddrPort `cbor:"5,keyasint"`
+	// Placed is true once the leader knows the proxies. Before that, the holders of an earlier view stay.
+	Placed bool `cbor:"6,keyasint,omitempty"`
+	// Holders are the proxies that hold connections to the servers of a group. Of a group that is not listed, each proxy
+	// holds its own.
+	Holders map[string][]placement.Proxy `cbor:"7,keyasint,omitempty"`
 }
 
 // Seen is a position of a primary's log. It covers every commit that was acknowledged Age before the answer was sent.
