--- a/core/deployment/command.go
+++ b/core/deployment/command.go
@@ -20,6 +20,7 @@
 	Abandon   *Abandon       `cbor:"6,keyasint,omitempty"`
 	Promote   *Promote       `cbor:"7,keyasint,omitempty"`
 	Finish    *Finish        `cbor:"8,keyasint,omitempty"`
+	Count     *Count         `cbor:"9,keyasint,omitempty"`
 }
 
 // Server is a backend server as it announced itself.
@@ -55,6 +56,12 @@
 	return s == other
 }
 
+// Count records the number of proxies that take statements from others, so that a new leader knows how many to wait for
+// before it places the connections.
+type Count struct {
+	Proxies int `cbor:"1,keyasint"`
+}
+
 // Forget removes a server that is gone. Sequence is that of the last announcement that the proposer knew; a newer one
 // keeps the server.
 type Forget struct {
--- a/core/deployment/state.go
+++ b/core/deployment/state.go
@@ -64,6 +64,8 @@
 	Configuration Configuration     `cbor:"2,keyasint"`
 	Groups        map[string]Group  `cbor:"3,keyasint"`
 	Servers       map[string]Server `cbor:"4,keyasint"`
+	// Proxies is the number of proxies, as counted last.
+	Proxies int `cbor:"5,keyasint,omitempty"`
 }
 
 // State is the state machine. Apply, Snapshot and Restore must not run at the same time; View may be called by any
@@ -146,6 +148,10 @@
 		return v.announce(*command.Announce)
 	case command.Forget != nil:
 		return v.forget(*command.Forget)
+	case command.Count != nil:
+		v.Proxies = command.Count.Proxies
+
+		return Answer{}
 	default:
 		return v.runGroup(index, command)
 	}
--- a/core/lease/doc.go
+++ b/core/lease/doc.go
@@ -12,7 +12,7 @@
 //
 //	table := lease.New(leading, duration)
 //	table.Grant(now, lease.Holder{Name: "proxy1", Instance: 7}, version)
-//	if waiting := table.Pending(now, fenced); len(waiting) > 0 {
+//	if waiting := table.Pending(now, func(string) uint64 { return fenced }); len(waiting) > 0 {
 //		return // Ask again later.
 //	}
 package lease
--- a/core/lease/table.go
+++ b/core/lease/table.go
@@ -53,9 +53,9 @@
 	}
 }
 
-// Pending returns the names of the proxies that may still act on a view before the given version. The empty name
-// stands for proxies that hold a lease of an earlier leader.
-func (t *Table) Pending(now time.Time, version uint64) []string {
+// Pending returns the names of the proxies that may still act on a view before the version that is needed of them. The
+// empty name stands for proxies that hold a lease of an earlier leader.
+func (t *Table) Pending(now time.Time, needed func(name string) uint64) []string {
 	var pending []string
 
 	if now.Before(t.inherited) {
@@ -63,7 +63,7 @@
 	}
 
 	for name, given := range t.grants {
-		if given.version < version && now.Before(given.until) {
+		if given.version < needed(name) && now.Before(given.until) {
 			pending = append(pending, name)
 		}
 	}
--- a/core/placement/doc.go
+++ b/core/placement/doc.go
@@ -12,8 +12,7 @@
 //
 // # Usage
 //
-//	holders := placement.Holders("registry", 56, proxies)
-//	if holders == nil {
-//		// Each proxy holds connections of its own.
+//	if placement.Shared(56, len(proxies)) {
+//		holders := placement.Holders("registry", proxies)
 //	}
 package placement
--- a/core/placement/holders.go
+++ b/core/placement/holders.go
@@ -30,13 +30,14 @@
 	proxy Proxy
 }
 
-// Holders returns the proxies that hold connections to the servers of a group, ordered by name, or nil if each proxy
-// holds its own. Connections is the number that a server accepts.
-func Holders(group string, connections int, proxies []Proxy) []Proxy {
-	if len(proxies)*ownLeast <= connections {
-		return nil
-	}
+// Shared reports whether the connections to a server that accepts a number of them are too few for each proxy to hold
+// its own.
+func Shared(connections, proxies int) bool {
+	return proxies*ownLeast > connections
+}
 
+// Holders returns the proxies that hold connections to the servers of a group, ordered by name.
+func Holders(group string, proxies []Proxy) []Proxy {
 	ranked := make([]candidate, len(proxies))
 	for i, proxy := range proxies {
 		ranked[i] = candidate{rank(group, proxy.Name), proxy}
--- a/core/placement/holders_test.go
+++ b/core/placement/holders_test.go
@@ -39,7 +39,11 @@
 		{28, 56, 0},
 		{0, 56, 0},
 	} {
-		holders := placement.Holders("g", test.connections, proxies(test.proxies))
+		var holders []placement.Proxy
+		if placement.Shared(test.connections, test.proxies) {
+			holders = placement.Holders("g", proxies(test.proxies))
+		}
+
 		assert.Len(t, holders, test.holders, "%d proxies, %d connections", test.proxies, test.connections)
 
 		perCentre := map[string]int{}
@@ -63,9 +67,9 @@
 
 	for g := range 8 {
 		group := fmt.Sprintf("group-%d", g)
-		before := placement.Holders(group, 56, all)
+		before := placement.Holders(group, all)
 		without := slices.DeleteFunc(slices.Clone(all), func(p placement.Proxy) bool { return p == before[0] })
-		after := placement.Holders(group, 56, without)
+		after := placement.Holders(group, without)
 
 		kept := 0
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -494,3 +494,66 @@
 	f.awaitPrimary("c")
 	assert.Len(t, f.servers.given(), 1)
 }
+
+// Guards against a takeover that waits for the lease of a frozen proxy which forwards the group's statements to others and
+// so reads nothing from the former primary; and against one that does not wait for a former holder.
+func TestTakeoverWaitsForHoldersOnly(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.awaitPrimary("a")
+
+	names := []string{"p", "q", "r", "s", "t", "u"}
+	requests := make(map[string]*iofleet.SyncRequest)
+
+	sync := func(name string) {
+		request := requests[name]
+		reply, err := f.controller.Sync(t.Context(), request)
+		require.NoError(t, err)
+
+		if reply.View != nil {
+			request.Applied = reply.View.Version
+		}
+	}
+
+	for i, name := range names {
+		requests[name] = &iofleet.SyncRequest{
+			Proxy: name, Instance: 1, Centre: "x", Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.1.1"), uint16(i+1)),
+		}
+	}
+
+	l := f.controller.leadership()
+	view := func() iofleet.View {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+
+		return l.view
+	}
+
+	var pending []string
+
+	require.Eventually(t, func() bool {
+		for _, name := range names {
+			sync(name)
+		}
+
+		pending = l.pending(time.Now(), "g", view().Version.Number+1)
+
+		return len(view().Holders["g"]) == 2 && len(pending) == 2
+	}, 20*time.Second, time.Millisecond, "only the holders use the servers")
+
+	former := pending[0]
+	requests[former].Leaving = true
+
+	sync(former)
+	require.Eventually(t, func() bool {
+		for _, name := range names {
+			if name != former {
+				sync(name)
+			}
+		}
+
+		return !named(view().Holders["g"], former)
+	}, 20*time.Second, time.Millisecond)
+	assert.Contains(t, l.pending(time.Now(), "g", view().Version.Number+1), former, "it has not applied the view without it")
+}
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -30,8 +30,13 @@
 	// sightTime is the age up to which a proxy's report counts.
 	sightTime = 1500 * time.Millisecond
 	// placeTime is the time after the beginning of a leadership in which each proxy has called: half of it is a call that
-	// another process holds.
+	// another process holds. It is also the least time between two counts.
 	placeTime = 400 * time.Millisecond
+	// placeShare is the part of the proxies that are known when holders are chosen earlier: a few VMs are usually down.
+	placeShare = 0.95
+	// fewerTime is the time for which the number of proxies must have been smaller before that is recorded. VMs that
+	// restart are back sooner.
+	fewerTime = time.Minute
 	// peerTime is the time after its last call for which a proxy stays a holder. A call is held for holdTime; a restart
 	// takes about a second.
 	peerTime = time.Second
@@ -73,12 +78,17 @@
 	reports map[string]report
 	// peers are the proxies that take statements from others.
 	peers map[string]peer
+	// fewer is the last time at which as many proxies were known as are recorded, counted that of the last record.
+	fewer   time.Time
+	counted time.Time
 	// confirmed is the beginning of the last proof that this process led.
 	confirmed time.Time
 	view      iofleet.View
 	index     uint64
 	changed   chan struct{}
 	stewards  container.Set[string]
+	// used is the number of the last view in which a proxy held connections of a group, by group and proxy.
+	used map[string]map[string]uint64
 	// shares divide the connections of each server.
 	shares map[string]*share.Table
 	// positions are the last positions of the primaries, by group.
@@ -97,7 +107,8 @@
 
 	return &leadership{
 		controller: c, term: term, ctx: ctx, cancel: cancel, began: now, leases: lease.New(now, leaseTime),
-		heard: make(map[string]heard), ended: make(map[string]heard), reports: make(map[string]report), peers: make(map[string]peer),
+		heard: make(map[string]heard), ended: make(map[string]heard), reports: make(map[string]report), peers: make(map[string]peer), fewer: now,
+		used:    make(map[string]map[string]uint64),
 		changed: make(chan struct{}), stewards: make(container.Set[string]),
 		shares: make(map[string]*share.Table), positions: make(map[string]sighting),
 	}
@@ -173,6 +184,7 @@
 	if !same {
 		next.Version = iofleet.Version{Term: l.term, Number: l.view.Version.Number + 1}
 		l.view, l.index = next, state.Index
+		l.use()
 		close(l.changed)
 		l.changed = make(chan struct{})
 	}
@@ -201,10 +213,6 @@
 
 // place chooses the holders of each group. It is not done before the proxies are known. The mutex is held.
 func (l *leadership) place(now time.Time, state *deployment.View) (placed bool, holders map[string][]placement.Proxy) {
-	if now.Sub(l.began) < placeTime {
-		return false, nil
-	}
-
 	proxies := make([]placement.Proxy, 0, len(l.peers))
 
 	for name, one := range l.peers {
@@ -217,17 +225,46 @@
 		proxies = append(proxies, one.proxy)
 	}
 
+	known := len(proxies) >= int(placeShare*float64(state.Proxies)) || now.Sub(l.began) >= placeTime
+	l.count(now, state.Proxies, len(proxies))
+
 	for _, settings := range state.Configuration.Groups {
-		if chosen := placement.Holders(settings.Name, settings.Connections-share.Reserve, proxies); chosen != nil {
-			if holders == nil {
-				holders = make(map[string][]placement.Proxy)
-			}
+		connections := settings.Connections - share.Reserve
+		if !placement.Shared(connections, max(len(proxies), state.Proxies)) {
+			continue
+		}
+
+		if !known {
+			return false, nil
+		}
 
-			holders[settings.Name] = chosen
+		if holders == nil {
+			holders = make(map[string][]placement.Proxy)
 		}
+
+		holders[settings.Name] = placement.Holders(settings.Name, proxies)
 	}
 
-	return true, holders
+	return state.Proxies > 0, holders
+}
+
+// count records the number of proxies when it has grown, or has been smaller for some time. The mutex is held.
+func (l *leadership) count(now time.Time, recorded, present int) {
+	if present >= recorded {
+		l.fewer = now
+	}
+
+	if present == recorded || present < recorded && now.Sub(l.fewer) < fewerTime || now.Sub(l.counted) < placeTime {
+		return
+	}
+
+	l.counted = now
+
+	l.running.Go(func() {
+		_, err := l.controller.propose(l.ctx, deployment.Command{Count: &deployment.Count{Proxies: present}})
+		l.controller.options.Logger.Info("proxies counted", "proxies", present, "before", recorded, "error", err)
+		l.refresh(time.Now())
+	})
 }
 
 // meet notes a proxy that takes statements from others. The mutex is held.
@@ -394,6 +431,11 @@
 	reply.Positions = make(map[string]iofleet.Seen, len(l.positions))
 
 	for group, seen := range l.positions {
+		// A proxy that forwards a group's statements needs no positions of it.
+		if holders, placed := l.view.Holders[group]; placed && !named(holders, request.Proxy) {
+			continue
+		}
+
 		if age := now.Sub(seen.at); age < positionTime {
 			reply.Positions[group] = iofleet.Seen{Position: seen.position, Age: age}
 		}
@@ -412,6 +454,10 @@
 	return reply, l.changed
 }
 
+func named(proxies []placement.Proxy, name string) bool {
+	return slices.ContainsFunc(proxies, func(p placement.Proxy) bool { return p.Name == name })
+}
+
 // configure accepts a configuration.
 func (l *leadership) configure(ctx context.Context, configuration deployment.Configuration) error {
 	logger := l.controller.options.Logger
@@ -522,12 +568,37 @@
 	return l.forget(ctx, id, last)
 }
 
-// pending returns the proxies that may still act on a view in which the group was in an earlier state.
-func (l *leadership) pending(now time.Time, version uint64) []string {
+// pending returns the proxies that may still use the servers of a group as a view before the given version says. One
+// that has applied a view after the last one in which it held connections of the group uses them no more.
+func (l *leadership) pending(now time.Time, group string, version uint64) []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 
-	return l.leases.Pending(now, version)
+	return l.leases.Pending(now, func(name string) uint64 {
+		return min(version, max(l.used[group][everyProxy], l.used[group][name])+1)
+	})
+}
+
+// everyProxy is the name under which used keeps the views in which each proxy holds connections of a group.
+const everyProxy = ""
+
+// use notes who holds connections in the present view. The mutex is held.
+func (l *leadership) use() {
+	for _, group := range l.view.Groups {
+		if l.used[group.Name] == nil {
+			l.used[group.Name] = make(map[string]uint64)
+		}
+
+		// Before the holders are chosen, proxies go by an earlier view.
+		holders, placed := l.view.Holders[group.Name]
+		if !placed || !l.view.Placed {
+			l.used[group.Name][everyProxy] = l.view.Version.Number
+		}
+
+		for _, holder := range holders {
+			l.used[group.Name][holder.Name] = l.view.Version.Number
+		}
+	}
 }
 
 // version returns the number of the present view, after it was renewed.
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -72,7 +72,7 @@
 	began := time.Now()
 
 	for {
-		pending := s.leadership.pending(time.Now(), version)
+		pending := s.leadership.pending(time.Now(), s.group, version)
 		if len(pending) == 0 {
 			s.logger().Info("proxies have left the primary", "group", s.group, "took", time.Since(began))
 
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -19,6 +19,9 @@
 	// fairFactor is the number of statements for each slot that all proxies together may have at a server without room.
 	// With fewer, slots would be free between two statements.
 	fairFactor = 3
+	// strictLeast is the least number of statements that a holder may have at a server at any time. With one, each
+	// statement of a transaction would wait for another caller's.
+	strictLeast = 2
 	// waitingLimit bounds the statements that wait for a connection to one server. A server works off as many within
 	// a statement's timeout.
 	waitingLimit = 128
@@ -72,17 +75,26 @@
 	pause  time.Duration
 	until  time.Time
 	closed bool
+	// strict keeps the number of statements at the server below fair even while it has room. They wait here by priority;
+	// at the server they would wait in the order of arrival.
+	strict bool
 	// retired is true while other proxies hold the connections to the server.
 	retired bool
 }
 
-// divide sets the limit to an equal part of what the server accepts, until control grants another one.
-func (p *pool) divide(connections, proxies int) {
+// divide sets the limit to an equal part of what the server accepts, until control grants another one. With strict, the
+// proxy never has more than its fair part of statements at the server.
+func (p *pool) divide(connections, proxies int, strict bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	p.retired = false
-	p.fair = max(1, int64(fairFactor*p.server.info.Load().Slots/max(1, proxies)))
+	least := int64(1)
+	if strict {
+		least = strictLeast
+	}
+
+	p.retired, p.strict = false, strict
+	p.fair = max(least, int64(fairFactor*p.server.info.Load().Slots/max(1, proxies)))
 
 	if !p.granted {
 		p.limit = max(1, (connections-share.Reserve)/max(1, proxies))
@@ -190,12 +202,15 @@
 
 	now := time.Now()
 
-	if len(p.idle) > 0 && p.admits(now) {
+	admitted := p.admits(now)
+
+	if len(p.idle) > 0 && admitted {
 		return p.pick(session, values), nil, nil
 	}
 
 	// A server without room would take longer to open a connection than to free one that is open.
-	if len(p.idle) == 0 && p.open < p.limit && !now.Before(p.until) && (p.open == 0 || !p.server.crowded(now)) {
+	if len(p.idle) == 0 && p.open < p.limit && !now.Before(p.until) &&
+		(p.open == 0 || !p.server.crowded(now) && (admitted || !p.strict)) {
 		p.open++
 
 		return nil, nil, nil
@@ -210,7 +225,7 @@
 		return nil, nil, result.New(result.QueueFull, "%d statements wait for server %s", at, p.server.id)
 	}
 
-	if wait := p.hold * time.Duration(at+1) / time.Duration(max(1, p.open)); now.Add(wait).After(deadline) {
+	if wait := p.wait(at); now.Add(wait).After(deadline) {
 		return nil, nil, result.New(result.DeadlinePassed, "server %s has too much work; the expected wait is %s",
 			p.server.id, wait.Round(time.Millisecond))
 	}
@@ -221,9 +236,19 @@
 	return nil, waits, nil
 }
 
+// wait returns the time for which a statement is expected to wait behind a number of others. The mutex is held.
+func (p *pool) wait(before int) time.Duration {
+	expected := p.hold * time.Duration(before+1) / time.Duration(max(1, p.open))
+	if p.strict {
+		expected = max(expected, p.server.mean()*time.Duration(before+1)/time.Duration(p.fair))
+	}
+
+	return expected
+}
+
 // admits reports whether one more statement may go to the server now. The mutex is held.
 func (p *pool) admits(now time.Time) bool {
-	return p.server.running.Load() < p.fair || !p.server.crowded(now)
+	return p.server.running.Load() < p.fair || !p.strict && !p.server.crowded(now)
 }
 
 // nudge hands idle connections to waiters after a statement has ended.
@@ -238,7 +263,7 @@
 		given.taken = now
 		p.next().ready <- given
 
-		if p.server.crowded(now) {
+		if p.strict || p.server.crowded(now) {
 			return // The waiter's statement is not counted yet.
 		}
 	}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -63,18 +63,18 @@
 }
 
 // pool returns the pool of the session's database. Without a configuration it waits for one, because the database may
-// exist.
+// exist, and without a view it waits to learn who holds the connections.
 func (s *session) pool() (deployment.Pool, error) {
 	present, changed := s.gateway.wait()
 
-	for deadline := time.Now().Add(configurationWait); present.configuration == nil; {
+	for deadline := time.Now().Add(configurationWait); present.configuration == nil || !present.placed; {
 		timer := time.NewTimer(time.Until(deadline))
 
 		select {
 		case <-changed:
 			timer.Stop()
 		case <-timer.C:
-			return deployment.Pool{}, result.New(result.Unconfirmed, "the proxy has no configuration yet")
+			return deployment.Pool{}, result.New(result.Unconfirmed, "the proxy has no configuration or no view yet")
 		}
 
 		present, changed = s.gateway.wait()
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -21,6 +21,8 @@
 	pools         map[string]*deployment.Pool
 	groups        map[string]*group
 	control       *fleet.View
+	// placed is true once a view has said who holds connections.
+	placed bool
 	// holders are the holders of the groups of which not each proxy holds its own connections.
 	holders map[string]*holders
 }
@@ -94,7 +96,7 @@
 		next.version, next.control = control.Version, control
 
 		if control.Placed {
-			next.holders = g.holders(control)
+			next.placed, next.holders = true, g.holders(control)
 		}
 	}
 
@@ -189,17 +191,16 @@
 	}
 
 	for name, within := range next.groups {
-		sharing, remote := next.control.Proxies, false
-
-		if placed := next.holders[name]; placed != nil {
-			sharing, remote = len(placed.proxies), placed.remote()
-		}
+		placed := next.holders[name]
 
 		for _, one := range within.servers {
-			if remote {
+			switch {
+			case !next.placed || placed.remote():
 				one.pool.retire()
-			} else {
-				one.pool.divide(limits[name], sharing)
+			case placed != nil:
+				one.pool.divide(limits[name], len(placed.proxies), true)
+			default:
+				one.pool.divide(limits[name], next.control.Proxies, false)
 			}
 		}
 	}
