--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -19,6 +19,9 @@
 	// fairFactor is the number of statements for each slot that all proxies together may have at a server without room.
 	// With fewer, slots would be free between two statements.
 	fairFactor = 3
+	// strictFactor is fairFactor for holders, which have no more statements at a server with room either: with four, the
+	// last one waits for as long as three others take.
+	strictFactor = 4
 	// strictLeast is the least number of statements that a holder may have at a server at any time. With one, each
 	// statement of a transaction would wait for another caller's.
 	strictLeast = 2
@@ -60,7 +63,9 @@
 	mutex sync.Mutex
 	idle  []*conn
 	// open counts all connections, including those that are being opened.
-	open    int
+	open int
+	// opening counts those that are being opened.
+	opening int64
 	waiting []*waiter
 	// limit is the number of connections that the proxy may hold. Until control has granted one it is an equal part.
 	limit   int
@@ -88,13 +93,13 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	least := int64(1)
+	least, factor := int64(1), fairFactor
 	if strict {
-		least = strictLeast
+		least, factor = strictLeast, strictFactor
 	}
 
 	p.retired, p.strict = false, strict
-	p.fair = max(least, int64(fairFactor*p.server.info.Load().Slots/max(1, proxies)))
+	p.fair = max(least, int64(factor*p.server.info.Load().Slots/max(1, proxies)))
 
 	if !p.granted {
 		p.limit = max(1, (connections-share.Reserve)/max(1, proxies))
@@ -202,16 +207,13 @@
 
 	now := time.Now()
 
-	admitted := p.admits(now)
-
-	if len(p.idle) > 0 && admitted {
+	if len(p.idle) > 0 && p.admits(now) {
 		return p.pick(session, values), nil, nil
 	}
 
-	// A server without room would take longer to open a connection than to free one that is open.
-	if len(p.idle) == 0 && p.open < p.limit && !now.Before(p.until) &&
-		(p.open == 0 || !p.server.crowded(now) && (admitted || !p.strict)) {
+	if len(p.idle) == 0 && p.opens(now) {
 		p.open++
+		p.opening++
 
 		return nil, nil, nil
 	}
@@ -246,9 +248,24 @@
 	return expected
 }
 
+// opens reports whether another connection may be opened now. Each takes a slot of the server for as long as a statement,
+// so that after a restart of all proxies, connections that are opened all at once keep statements from running: on
+// kalasag-reg-grown, 112 to a server with two slots. The mutex is held.
+func (p *pool) opens(now time.Time) bool {
+	switch {
+	case p.open >= p.limit || now.Before(p.until):
+		return false
+	case p.open == 0:
+		return true
+	}
+
+	// A server without room would take longer to open a connection than to free one that is open.
+	return p.opening < max(1, p.fair) && !p.server.crowded(now) && (!p.strict || p.admits(now))
+}
+
 // admits reports whether one more statement may go to the server now. The mutex is held.
 func (p *pool) admits(now time.Time) bool {
-	return p.server.running.Load() < p.fair || !p.strict && !p.server.crowded(now)
+	return p.server.running.Load()+p.opening < p.fair || !p.strict && !p.server.crowded(now)
 }
 
 // nudge hands idle connections to waiters after a statement has ended.
@@ -267,6 +284,15 @@
 			return // The waiter's statement is not counted yet.
 		}
 	}
+
+	p.openNext(time.Now())
+}
+
+// openNext lets the first waiter open a connection, if one may be opened. The mutex is held.
+func (p *pool) openNext(now time.Time) {
+	if len(p.waiting) > 0 && len(p.idle) == 0 && p.opens(now) {
+		p.next().ready <- nil
+	}
 }
 
 // pick takes the idle connection that needs the least setup, of those the one used last. The mutex is held.
@@ -343,9 +369,12 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
+	p.opening--
+
 	if err == nil {
 		p.pause, p.until = 0, time.Time{}
 		opened.taken = time.Now()
+		p.openNext(opened.taken)
 
 		return opened, nil
 	}
@@ -454,6 +483,7 @@
 	}
 
 	p.open++
+	p.opening++
 
 	return true
 }
--- a/internal/gateway/pool_test.go
+++ b/internal/gateway/pool_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -178,3 +180,140 @@
 func floorAt(lsn position.LSN) position.Position {
 	return position.Position{Term: 1, LSN: lsn}
 }
+
+// Guards against urgent statements that wait at a server behind routine ones, which it runs in the order of arrival. The
+// load: a backlog after an outage, with more connections than slots. Without the strict bound, the naive version, all
+// statements are at the server at once.
+func TestStatementsWaitByPriorityBeforeTheServer(t *testing.T) {
+	t.Parallel()
+
+	for _, strict := range []bool{false, true} {
+		connections := newPool(&member{}, 18)
+		connections.divide(20, 1, strict)
+
+		fair := int(connections.fair)
+		order := make(chan int, 20)
+
+		var held []*conn
+
+		use := func(priority int) {
+			got, err := connections.get(soon(), priority, 1, nil)
+			if err == nil {
+				connections.server.running.Add(1)
+				order <- priority
+				connections.put(got)
+				connections.server.end()
+			}
+		}
+
+		for range fair {
+			got, err := connections.get(soon(), 2, 1, nil)
+			require.NoError(t, err)
+			connections.server.running.Add(1)
+
+			held = append(held, got)
+		}
+
+		for i, priority := range []int{2, 2, 1} {
+			go use(priority)
+
+			require.Eventually(t, func() bool {
+				connections.mutex.Lock()
+				defer connections.mutex.Unlock()
+
+				return len(connections.waiting) == i+1 || len(order) == i+1
+			}, 5*time.Second, time.Millisecond)
+		}
+
+		assert.Equal(t, !strict, len(order) > 0, "statements at the server beyond the fair part")
+
+		connections.put(held[0])
+		connections.server.end()
+
+		first := <-order
+		assert.Equal(t, strict, first == 1)
+
+		for _, one := range held[1:] {
+			connections.put(one)
+			connections.server.end()
+		}
+	}
+}
+
+// Guards against a pool that goes on to hold connections, or to wait for one, after other proxies hold them.
+func TestRetiredPool(t *testing.T) {
+	t.Parallel()
+
+	served := &member{}
+	connections := newPool(served, 2)
+
+	first, err := connections.get(soon(), 2, 1, nil)
+	require.NoError(t, err)
+	second, err := connections.get(soon(), 2, 1, nil)
+	require.NoError(t, err)
+	connections.put(second)
+
+	waited := make(chan error, 1)
+
+	connections.mutex.Lock()
+	connections.limit = 1
+	connections.idle = nil
+	connections.mutex.Unlock()
+
+	go func() {
+		_, err := connections.get(soon(), 2, 1, nil)
+		waited <- err
+	}()
+
+	require.Eventually(t, func() bool { return connections.demand().Wanted > 1 }, 5*time.Second, time.Millisecond)
+	connections.retire()
+	assert.Equal(t, result.ServerUnreachable, result.CodeOf(<-waited))
+
+	connections.put(first)
+	connections.grant(5)
+	assert.False(t, connections.reserve())
+	assert.LessOrEqual(t, served.open, 1, "the connection that the test has taken away stays")
+}
+
+// Guards against connections that are opened all at once after a restart and keep statements from running. The load: 14
+// callers at one proxy whose server has two slots.
+func TestFewConnectionsAreOpenedAtOnce(t *testing.T) {
+	t.Parallel()
+
+	for _, strict := range []bool{false, true} {
+		served := &member{}
+
+		var opening, most atomic.Int64
+
+		created := newServer(fleet.Server{Server: deployment.Server{ID: "s", Slots: 2}}, func(time.Time, deployment.Server) (Backend, error) {
+			present := opening.Add(1)
+			for known := most.Load(); present > known && !most.CompareAndSwap(known, present); known = most.Load() {
+			}
+
+			time.Sleep(2 * time.Millisecond)
+			opening.Add(-1)
+
+			return served.dial()
+		})
+		connections := created.pool
+		connections.grant(14)
+		connections.divide(112, 8, strict)
+
+		var callers sync.WaitGroup
+
+		for range 14 {
+			callers.Go(func() {
+				got, err := connections.get(soon(), 2, 1, nil)
+				if assert.NoError(t, err) {
+					created.running.Add(1)
+					time.Sleep(time.Millisecond)
+					connections.put(got)
+					created.end()
+				}
+			})
+		}
+
+		callers.Wait()
+		assert.LessOrEqual(t, most.Load(), max(1, connections.fair))
+	}
+}
