--- a/internal/deployed/control.go
+++ b/internal/deployed/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -207,6 +208,20 @@
 		if err := asked.Wait(); err != nil && ctx.Err() == nil {
 			c.options.Logger.Warn("processes with the log can't be asked to admit this one", "error", err)
 		}
+
+		if _, leader, self := c.group.Leader(); !leader.IsValid() && !self {
+			c.seekLeader(ctx, known)
+		}
+	}
+}
+
+// seekLeader asks the other processes who leads. A process that was replaced in the log while it was away hears nothing
+// from the log.
+func (c *Control) seekLeader(ctx context.Context, known []netip.AddrPort) {
+	c.client.Learn(slices.Concat(c.options.Seeds(), known))
+
+	if _, err := c.client.Sync(ctx, &iofleet.SyncRequest{Configuration: math.MaxUint64}); err != nil {
+		c.options.Logger.Debug("leader of control is not found", "error", err)
 	}
 }
 
@@ -225,16 +240,7 @@
 
 // dial connects to another process of the system.
 func dial(address netip.AddrPort) (*grpc.ClientConn, error) {
-	return connect(address)
-}
-
-// dialProxy connects to another proxy. Statements are small, and a proxy has many such connections.
-func dialProxy(address netip.AddrPort) (*grpc.ClientConn, error) {
-	return connect(address, grpc.WithReadBufferSize(peerBuffer), grpc.WithWriteBufferSize(peerBuffer))
-}
-
-func connect(address netip.AddrPort, options ...grpc.DialOption) (*grpc.ClientConn, error) {
-	options = append(options,
+	connection, err := grpc.NewClient("passthrough:///"+address.String(),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
@@ -245,7 +251,6 @@
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageLimit)),
 	)
-	connection, err := grpc.NewClient("passthrough:///"+address.String(), options...)
 
 	return connection, eris.Wrapf(err, "connect to %s", address)
 }
--- a/internal/deployed/proxy.go
+++ b/internal/deployed/proxy.go
@@ -11,12 +11,12 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"google.golang.org/grpc"
 
 	"almondgrade/core/timer"
 	"almondgrade/internal/gateway"
 	"almondgrade/internal/metrics"
 	"almondgrade/io/fleet"
+	"almondgrade/io/hop"
 )
 
 const (
@@ -34,9 +34,6 @@
 	// above which it works harder.
 	collectPercent = 50
 	memoryShare    = 0.6
-	// peerBuffer is the size in bytes of the buffers of a connection between proxies. A statement takes a few hundred, and
-	// a proxy has up to a hundred connections.
-	peerBuffer = 2 << 10
 )
 
 // ProxyOptions describe a Proxy.
@@ -62,7 +59,7 @@
 	gateway  *gateway.Gateway
 	metrics  *metrics.Metrics
 	listener net.Listener
-	peers    *fleet.Peers
+	peers    *hop.Peers
 }
 
 // NewProxy returns a proxy that is not ready yet.
@@ -76,7 +73,7 @@
 
 	created := &Proxy{
 		options: options, clock: timer.New(), metrics: metrics.New(), listener: listener,
-		peers: fleet.NewPeers(dialProxy, options.Logger),
+		peers: hop.NewPeers(options.Logger),
 	}
 	created.gateway = gateway.New(gateway.Options{
 		Name: options.Name, Dial: options.Dial, Forward: created.forward, Centre: options.Centre, Logger: options.Logger,
@@ -111,15 +108,10 @@
 }
 
 // Run follows control until the context ends. It then finishes what is in progress and returns.
-func (p *Proxy) Run(ctx context.Context) error {
+func (p *Proxy) Run(ctx context.Context) {
 	p.options.Logger.Info("proxy starts", "centre", p.options.Centre)
 
-	server := grpc.NewServer(grpc.ReadBufferSize(peerBuffer), grpc.WriteBufferSize(peerBuffer))
-	fleet.RegisterForward(server, p.gateway.Forward)
-
-	ended := make(chan error, 1)
-
-	go func() { ended <- server.Serve(p.listener) }()
+	server := hop.Serve(p.listener, p.options.Logger, p.gateway.Forward)
 
 	following, stop := context.WithCancel(context.Background())
 	followed := make(chan struct{})
@@ -134,13 +126,11 @@
 	p.drain()
 	stop()
 	<-followed
-	server.Stop()
+	server.Close()
 	p.gateway.Close()
 	p.peers.Close()
 	p.clock.Close()
 	p.options.Logger.Info("proxy ends")
-
-	return eris.Wrap(<-ended, "serve other proxies")
 }
 
 // follow calls control without a pause and applies what it says.
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -250,11 +250,18 @@
 	}
 
 	_, leader, self := c.options.Log.Leader()
-	if self || !leader.IsValid() {
+
+	switch {
+	case self:
+		return nil, result.New(result.NoQuorum, "the leadership of this process begins")
+	case leader.IsValid():
+		return c.options.Client.Deliver(ctx, leader, delivery)
+	case !c.options.Client.Present().IsValid():
 		return nil, result.New(result.NoQuorum, "no leader of control is known")
 	}
 
-	return c.options.Client.Deliver(ctx, leader, delivery)
+	// The log tells nothing to a process that was replaced in it, but the other processes may know the leader.
+	return c.options.Client.Carry(ctx, delivery)
 }
 
 func receipt(err error) *iofleet.Receipt {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/netip"
 	"sync"
 	"testing"
@@ -10,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"almondgrade/core/deployment"
 	"almondgrade/core/position"
@@ -24,10 +27,12 @@
 
 // soloLog is a log of one member that always leads, unless it is cut off.
 type soloLog struct {
-	mutex   sync.Mutex
-	state   *deployment.State
-	index   uint64
-	cut     bool
+	mutex sync.Mutex
+	state *deployment.State
+	index uint64
+	cut   bool
+	// outside is true for a process that was replaced in the log, which tells it nothing.
+	outside bool
 	changed chan struct{}
 }
 
@@ -58,7 +63,7 @@
 }
 
 // Leader implements Log.
-func (l *soloLog) Leader() (string, netip.AddrPort, bool) { return "a", netip.AddrPort{}, true }
+func (l *soloLog) Leader() (string, netip.AddrPort, bool) { return "a", netip.AddrPort{}, !l.outside }
 
 // Changed implements Log.
 func (l *soloLog) Changed() <-chan struct{} { return l.changed }
@@ -557,3 +562,42 @@
 	}, 20*time.Second, time.Millisecond)
 	assert.Contains(t, l.pending(time.Now(), "g", view().Version.Number+1), former, "it has not applied the view without it")
 }
+
+// Guards against a control process that answers no call for good because it was replaced in the log while it was away.
+// Seen on kalasag-reg-grown, trouble-2: eight control processes, seven members of the log.
+func TestProcessOutsideTheLogPassesCallsOn(t *testing.T) {
+	t.Parallel()
+
+	leading := newFixture(t)
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	server := grpc.NewServer()
+	iofleet.Register(server, leading.controller)
+
+	go func() { _ = server.Serve(listener) }()
+
+	t.Cleanup(server.Stop)
+
+	client := iofleet.NewClient(iofleet.ClientOptions{
+		Seeds: []netip.AddrPort{netip.MustParseAddrPort(listener.Addr().String())}, Logger: slog.New(slog.DiscardHandler),
+		Dial: func(to netip.AddrPort) (*grpc.ClientConn, error) {
+			return grpc.NewClient("passthrough:///"+to.String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+		},
+	})
+	defer client.Close()
+
+	clock := timer.New()
+	defer clock.Close()
+
+	outside := New(Options{
+		Log: &soloLog{outside: true, changed: make(chan struct{})}, State: deployment.NewState(), Timer: clock,
+		Logger: slog.New(slog.DiscardHandler), Metrics: metrics.New(), Client: client,
+	})
+	defer outside.Close()
+
+	receipt, err := outside.Carry(t.Context(), &iofleet.Delivery{Read: true})
+	require.NoError(t, err)
+	assert.Equal(t, []byte("{}"), receipt.Configuration.Document)
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -117,14 +117,14 @@
 const guestTime = time.Second
 
 // Forward runs a statement of another proxy's caller.
-func (g *Gateway) Forward(_ context.Context, forwarded *Forwarded) (*ForwardReply, error) {
+func (g *Gateway) Forward(_ context.Context, forwarded *Forwarded) *ForwardReply {
 	g.forwards.Add(1)
 	defer g.forwards.Add(-1)
 
 	if forwarded.first() && g.view.Load().holders[forwarded.Pool.Group].remote() {
 		g.count("forward_declined")
 
-		return &ForwardReply{Declined: true}, nil
+		return &ForwardReply{Declined: true}
 	}
 
 	g.count("forwarded_in")
@@ -133,7 +133,7 @@
 	if err != nil {
 		g.refused(forwarded.Statement, forwarded.Pool.Database, err, 0)
 
-		return &ForwardReply{Failure: failureOf(err)}, nil
+		return &ForwardReply{Failure: failureOf(err)}
 	}
 
 	<-one.turn
@@ -146,7 +146,7 @@
 	return &ForwardReply{
 		Rows: reply.Rows, Signature: reply.Signature, State: reply.State, Position: reply.Position,
 		Wrote: one.session.wrote, Failure: failureOf(reply.Err),
-	}, nil
+	}
 }
 
 // guest returns the session that holds the statement's transaction, or a new one.
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -16,10 +16,11 @@
 	"almondgrade/core/position"
 	"almondgrade/core/result"
 	"almondgrade/io/fleet"
+	"almondgrade/io/hop"
 )
 
-// hop is a front proxy and the holders that it forwards statements to.
-type hop struct {
+// crossing is a front proxy and the holders that it forwards statements to.
+type crossing struct {
 	front   *fixture
 	holders map[netip.AddrPort]*fixture
 	// before and after are called around each call; an error takes the place of the answer.
@@ -28,10 +29,10 @@
 	calls  atomic.Int64
 }
 
-func newHop(t *testing.T) *hop {
+func newCrossing(t *testing.T) *crossing {
 	t.Helper()
 
-	h := &hop{front: newFixture(t), holders: make(map[netip.AddrPort]*fixture)}
+	h := &crossing{front: newFixture(t), holders: make(map[netip.AddrPort]*fixture)}
 
 	var proxies []placement.Proxy
 
@@ -56,7 +57,7 @@
 	return h
 }
 
-func (h *hop) fixtures() []*fixture {
+func (h *crossing) fixtures() []*fixture {
 	var all []*fixture
 	for _, holder := range h.holders {
 		all = append(all, holder)
@@ -66,7 +67,7 @@
 }
 
 // call carries a statement as the wire does.
-func (h *hop) call(ctx context.Context, to netip.AddrPort, forwarded *Forwarded) (*ForwardReply, error) {
+func (h *crossing) call(ctx context.Context, to netip.AddrPort, forwarded *Forwarded) (*ForwardReply, error) {
 	h.calls.Add(1)
 
 	if h.before != nil {
@@ -80,10 +81,7 @@
 		return nil, err
 	}
 
-	answered, err := h.holders[to].gateway.Forward(ctx, received)
-	if err != nil {
-		return nil, err
-	}
+	answered := h.holders[to].gateway.Forward(ctx, received)
 
 	if h.after != nil {
 		if err := h.after(to, forwarded); err != nil {
@@ -108,7 +106,7 @@
 func TestForwardedSession(t *testing.T) {
 	t.Parallel()
 
-	h := newHop(t)
+	h := newCrossing(t)
 	opened := h.front.members["p"].dials
 	session := h.front.connect("session")
 
@@ -157,7 +155,7 @@
 		calls   int64
 		effects int
 	}{
-		{"write not sent", Write, fleet.ErrNotSent, nil, result.OK, 2, 1},
+		{"write not sent", Write, hop.ErrNotSent, nil, result.OK, 2, 1},
 		{"write sent", Write, lost, nil, result.ConnectionLost, 1, 0},
 		{"answer to a write lost", Write, nil, lost, result.ConnectionLost, 1, 1},
 		{"read lost", Read, lost, nil, result.OK, 2, 1},
@@ -166,7 +164,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 
-			h := newHop(t)
+			h := newCrossing(t)
 			once := func(err error) func(netip.AddrPort, *Forwarded) error {
 				return func(netip.AddrPort, *Forwarded) error {
 					if h.calls.Load() == 1 {
@@ -191,7 +189,7 @@
 func TestForwardedTransactionEnds(t *testing.T) {
 	t.Parallel()
 
-	h := newHop(t)
+	h := newCrossing(t)
 	session := h.front.connect("latest")
 	require.NoError(t, session.ask(Begin, "BEGIN").Err)
 	require.NoError(t, session.ask(Write, "WRITE 1 a").Err)
@@ -239,7 +237,7 @@
 func TestFormerHolderDeclines(t *testing.T) {
 	t.Parallel()
 
-	h := newHop(t)
+	h := newCrossing(t)
 
 	var former *fixture
 
--- a/io/fleet/connections.go
+++ b/io/fleet/connections.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"net/netip"
 	"sync"
-	"time"
 
 	"google.golang.org/grpc"
 )
@@ -43,29 +42,17 @@
 
 // drop closes a connection after a failure, so that the next call opens another one.
 func (c *connections) drop(to netip.AddrPort, failed *grpc.ClientConn) {
-	if c.forget(to, failed) {
-		c.end(to, failed)
-	}
-}
-
-// retire is drop for a connection that may be silent: the calls that are still in progress on it get some time to end.
-func (c *connections) retire(to netip.AddrPort, suspect *grpc.ClientConn, after time.Duration) {
-	if c.forget(to, suspect) {
-		time.AfterFunc(after, func() { c.end(to, suspect) })
-	}
-}
-
-func (c *connections) forget(to netip.AddrPort, connection *grpc.ClientConn) bool {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
+	present := c.open[to] == failed
 
-	if c.open[to] != connection {
-		return false
+	if present {
+		delete(c.open, to)
 	}
+	c.mutex.Unlock()
 
-	delete(c.open, to)
-
-	return true
+	if present {
+		c.end(to, failed)
+	}
 }
 
 func (c *connections) end(to netip.AddrPort, connection *grpc.ClientConn) {
--- /dev/null
+++ b/io/hop/hop_test.go
@@ -0,0 +1,200 @@
+package hop_test
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondgrade/io/hop"
+)
+
+type message struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	return listener, netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func newPeers(t *testing.T) *hop.Peers {
+	t.Helper()
+
+	peers := hop.NewPeers(slog.New(slog.DiscardHandler))
+	t.Cleanup(peers.Close)
+
+	return peers
+}
+
+// Guards against replies that reach another call, and against calls that wait for each other.
+func TestCallsAtTheSameTime(t *testing.T) {
+	t.Parallel()
+
+	listener, address := listen(t)
+	first := make(chan struct{})
+	server := hop.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, request *message) *message {
+		if request.Text == "call 0 " {
+			<-first
+		}
+
+		return &message{request.Text + "answered"}
+	})
+
+	defer server.Close()
+
+	peers := newPeers(t)
+
+	var calls sync.WaitGroup
+
+	for i := range 50 {
+		calls.Go(func() {
+			text := fmt.Sprintf("call %d ", i)
+			reply := new(message)
+
+			if assert.NoError(t, peers.Call(t.Context(), address, &message{text}, reply)) {
+				assert.Equal(t, text+"answered", reply.Text)
+			}
+
+			if i == 49 {
+				close(first)
+			}
+		})
+	}
+
+	calls.Wait()
+
+	large := &message{strings.Repeat("x", 1<<20)}
+	reply := new(message)
+	require.NoError(t, peers.Call(t.Context(), address, large, reply))
+	assert.Len(t, reply.Text, 1<<20+len("answered"))
+}
+
+// Guards against a request that is taken for not sent though the proxy may have run it, and against a proxy that stays
+// unreached after it is back.
+func TestWhetherARequestWasSent(t *testing.T) {
+	t.Parallel()
+
+	listener, address := listen(t)
+	require.NoError(t, listener.Close())
+
+	peers := newPeers(t)
+	require.ErrorIs(t, peers.Call(t.Context(), address, &message{}, new(message)), hop.ErrNotSent)
+
+	// This one takes a request and ends the connection.
+	listener, err := net.Listen("tcp", address.String())
+	require.NoError(t, err)
+
+	ended := make(chan struct{})
+
+	go func() {
+		defer close(ended)
+
+		conn, err := listener.Accept()
+		if assert.NoError(t, err) {
+			var length [4]byte
+
+			_, err := io.ReadFull(conn, length[:])
+			assert.NoError(t, err)
+			_, err = io.CopyN(io.Discard, conn, int64(binary.BigEndian.Uint32(length[:])))
+			assert.NoError(t, err)
+			assert.NoError(t, conn.Close())
+		}
+	}()
+
+	err = peers.Call(t.Context(), address, &message{"x"}, new(message))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, hop.ErrNotSent)
+	<-ended
+
+	server := hop.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, request *message) *message { return request })
+	defer server.Close()
+
+	require.NoError(t, peers.Call(t.Context(), address, &message{"x"}, new(message)))
+}
+
+// Guards against calls that stay with a connection which has gone silent, and against the end of those in progress on it
+// because one of them was late.
+func TestSilentConnection(t *testing.T) {
+	t.Parallel()
+
+	listener, address := listen(t)
+	release := make(chan struct{})
+	server := hop.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, request *message) *message {
+		if request.Text != "quick" {
+			<-release
+		}
+
+		return request
+	})
+
+	defer server.Close()
+
+	peers := newPeers(t)
+	slow := make(chan error, 1)
+
+	go func() { slow <- peers.Call(t.Context(), address, &message{"slow"}, new(message)) }()
+
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+
+	err := peers.Call(ctx, address, &message{"late"}, new(message))
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.NotErrorIs(t, err, hop.ErrNotSent)
+	require.NoError(t, peers.Call(t.Context(), address, &message{"quick"}, new(message)))
+
+	close(release)
+	assert.NoError(t, <-slow)
+}
+
+// Guards against bytes that are not a message: the connection ends, the process goes on.
+func TestGarbage(t *testing.T) {
+	t.Parallel()
+
+	listener, address := listen(t)
+	server := hop.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, request *message) *message { return request })
+
+	defer server.Close()
+
+	for _, content := range []string{"\xff\xff\xff\xff of a length", "\x00\x00\x00\x01 too short", "GET / HTTP/1.1\r\n\r\n"} {
+		conn, err := net.Dial("tcp", address.String())
+		require.NoError(t, err)
+
+		_, err = conn.Write([]byte(content))
+		require.NoError(t, err)
+
+		_, err = conn.Read(make([]byte, 1))
+		require.Error(t, err, "the connection ends")
+		require.NoError(t, conn.Close())
+	}
+
+	// A frame whose content is no message gets a reply without content.
+	conn, err := net.Dial("tcp", address.String())
+	require.NoError(t, err)
+
+	defer conn.Close()
+
+	_, err = conn.Write([]byte("\x00\x00\x00\x09\x00\x00\x00\x00\x00\x00\x00\x07\xff"))
+	require.NoError(t, err)
+
+	reply := make([]byte, 12)
+	_, err = io.ReadFull(conn, reply)
+	require.NoError(t, err)
+	assert.Equal(t, "\x00\x00\x00\x08\x00\x00\x00\x00\x00\x00\x00\x07", string(reply))
+
+	require.NoError(t, newPeers(t).Call(t.Context(), address, &message{"x"}, new(message)))
+}
--- /dev/null
+++ b/io/hop/server.go
@@ -0,0 +1,118 @@
+package hop
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Server answers the calls of other proxies.
+type Server struct {
+	listener net.Listener
+	logger   *slog.Logger
+	ctx      context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+
+	mutex  sync.Mutex
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// Serve answers each request that arrives at a listener by a call of run, any number at the same time.
+func Serve[Q, R any](listener net.Listener, logger *slog.Logger, run func(context.Context, *Q) *R) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &Server{listener: listener, logger: logger, ctx: ctx, cancel: cancel, conns: make(map[net.Conn]struct{})}
+
+	answer := func(from *wire, number uint64, content []byte) {
+		request := new(Q)
+
+		var reply any
+
+		if err := cbor.Unmarshal(content, request); err != nil {
+			logger.Warn("request of another proxy can't be read", "error", err)
+		} else {
+			reply = run(ctx, request)
+		}
+
+		if err := from.send(number, reply); err != nil {
+			logger.Info("reply to another proxy could not be sent", "error", err)
+		}
+	}
+
+	server.running.Go(func() { server.accept(answer) })
+
+	return server
+}
+
+// Close ends all connections and waits for the calls in progress.
+func (s *Server) Close() {
+	s.cancel()
+
+	_ = s.listener.Close() // Nothing is lost with a listener.
+
+	s.mutex.Lock()
+	s.closed = true
+
+	for conn := range s.conns {
+		_ = conn.Close() // The callers notice the end.
+	}
+	s.mutex.Unlock()
+
+	s.running.Wait()
+}
+
+func (s *Server) accept(answer func(*wire, uint64, []byte)) {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			if s.ctx.Err() == nil {
+				s.logger.Error("no more connections of other proxies are accepted", "error", err)
+			}
+
+			return
+		}
+
+		if !s.add(conn) {
+			_ = conn.Close() // The server is closing.
+
+			return
+		}
+
+		s.running.Go(func() { s.read(conn, answer) })
+	}
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.conns[conn] = struct{}{}
+
+	return !s.closed
+}
+
+// read starts a goroutine for each request of a connection.
+func (s *Server) read(conn net.Conn, answer func(*wire, uint64, []byte)) {
+	from := newWire(conn)
+
+	for {
+		number, content, err := from.receive()
+		if err != nil {
+			s.logger.Debug("connection of another proxy ended", "error", err)
+
+			break
+		}
+
+		s.running.Go(func() { answer(from, number, content) })
+	}
+
+	_ = conn.Close() // It has ended already.
+
+	s.mutex.Lock()
+	delete(s.conns, conn)
+	s.mutex.Unlock()
+}
