--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -28,6 +28,8 @@
 	Transaction uint64 `cbor:"8,keyasint,omitempty"`
 	// Begin is set with the first statement of a transaction.
 	Begin Kind `cbor:"9,keyasint,omitempty"`
+	// Last is true if no other holder is left to send the statement to.
+	Last bool `cbor:"12,keyasint,omitempty"`
 	// Waited is the time since the sender has got the statement, Remaining that in which it has to be answered.
 	Waited    time.Duration `cbor:"10,keyasint,omitempty"`
 	Remaining time.Duration `cbor:"11,keyasint"`
@@ -48,7 +50,8 @@
 	Wrote position.Position `cbor:"5,keyasint,omitempty"`
 	// Failure is nil after success.
 	Failure *Failure `cbor:"6,keyasint,omitempty"`
-	// Declined is true if the statement did not run because the proxy is no holder of the group.
+	// Declined is true if the statement did not run because the proxy is no holder of the group, or does not reach its
+	// primary.
 	Declined bool `cbor:"7,keyasint,omitempty"`
 }
 
@@ -141,6 +144,13 @@
 
 	reply := one.session.forwarded(forwarded)
 	one.used = time.Now()
+
+	if one.session.declined {
+		g.count("forward_declined")
+
+		return &ForwardReply{Declined: true}
+	}
+
 	g.keep(forwarded.Transaction, one, one.session.tx.phase == txOpen)
 
 	return &ForwardReply{
@@ -226,6 +236,7 @@
 func (s *session) forwarded(forwarded *Forwarded) Reply {
 	command, needed := Command{Statement: forwarded.Statement}, (*prepared)(nil)
 	s.values = forwarded.Values
+	s.elsewhere = forwarded.first() && !forwarded.Last
 
 	if forwarded.Statement.Kind == Execute {
 		needed = s.gateway.names.get(forwarded.Shape, forwarded.Writes)
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -279,3 +279,41 @@
 		assert.Equal(t, err, received.Err())
 	}
 }
+
+// Guards against statements that fail because the one holder that they are sent to is cut off from the primary, while
+// another one reaches it. Seen on teranga-postal-grown, trouble-1 (primary_cut).
+func TestHolderCutOffFromThePrimary(t *testing.T) {
+	t.Parallel()
+
+	for _, kind := range []Kind{Write, Read, Begin} {
+		h := newCrossing(t)
+
+		for _, holder := range h.holders {
+			if holder.gateway.options.Name == "h1" {
+				holder.members = map[string]*member{"p": {down: true}, "r": {down: true}}
+			}
+		}
+
+		session := h.front.connect("latest")
+
+		for range 5 {
+			if kind == Begin {
+				require.NoError(t, session.ask(Begin, "BEGIN").Err)
+				require.NoError(t, session.ask(Write, "WRITE 1 a").Err)
+				require.NoError(t, session.ask(Commit, "COMMIT").Err)
+			} else {
+				require.NoError(t, session.ask(kind, "X 1").Err)
+			}
+		}
+	}
+
+	// If no holder reaches it, the last one waits for a takeover.
+	h := newCrossing(t)
+	for _, holder := range h.holders {
+		holder.members = map[string]*member{"p": {down: true}, "r": {down: true}}
+	}
+
+	reply := h.front.connect("latest").ask(Write, "WRITE 1 a")
+	assert.Equal(t, result.NoPrimary, result.CodeOf(reply.Err))
+	assert.EqualValues(t, 2, h.calls.Load())
+}
--- a/internal/gateway/holder.go
+++ b/internal/gateway/holder.go
@@ -129,8 +129,9 @@
 		last  error
 	)
 
-	for range holderAttempts {
+	for attempt := range holderAttempts {
 		now := time.Now()
+		f.message.Last = attempt+1 == min(holderAttempts, len(among))
 
 		to := gateway.hearing.pick(among, gateway.options.Centre, tried, now, rand.Uint64())
 		if to == nil || !now.Before(deadline) {
@@ -162,8 +163,8 @@
 	return nil, nil, last
 }
 
-// errDeclined says that a proxy is no holder any more, or not yet.
-var errDeclined = errors.New("the proxy holds no connections of the group")
+// errDeclined says that a proxy is no holder any more, or not yet, or does not reach the primary.
+var errDeclined = errors.New("the proxy holds no connections of the group or does not reach its primary")
 
 // attempt sends the statement to one holder.
 func (f *forward) attempt(to *placement.Proxy, deadline, now time.Time) (*ForwardReply, error) {
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -29,6 +29,10 @@
 	// wrote is the position of the session's last commit.
 	wrote position.Position
 	tx    transaction
+	// elsewhere is true for a statement that may go to another holder, and declined if it has to: this proxy does not reach
+	// the primary, and the statement did not run.
+	elsewhere bool
+	declined  bool
 	// candidates is reused for routing decisions.
 	candidates []route.Server
 	// closing makes the session end when it is idle, ending also in a transaction.
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -198,7 +198,9 @@
 		w.reason = result.New(result.DeadlinePassed, "the statement could not be run within %s", w.pool.Timeout)
 	}
 
-	w.session.gateway.refused(w.command.Statement, w.session.database, w.reason, w.attempts)
+	if !w.session.declined {
+		w.session.gateway.refused(w.command.Statement, w.session.database, w.reason, w.attempts)
+	}
 
 	return Reply{Err: w.reason, State: w.session.tx.state()}
 }
@@ -219,6 +221,13 @@
 		return false
 	}
 
+	// Another holder may reach the primary.
+	if w.session.elsewhere && within.Phase == deployment.Stable {
+		w.session.declined = true
+
+		return false
+	}
+
 	// The statement has not been tried, so its wait is no attempt.
 	w.attempts = max(0, w.attempts-1)
 	w.crowded = nil
@@ -275,7 +284,7 @@
 		return target{}, result.New(result.NoPrimary, "primary %s of group %s is gone", within.Primary, w.pool.Group)
 	}
 
-	if w.attempts > 1 && within.primary.unreachable(time.Now()) {
+	if (w.attempts > 1 || w.session.elsewhere) && within.primary.unreachable(time.Now()) {
 		return target{}, &takeoverError{result.New(result.NoPrimary, "primary %s of group %s is not reached", within.Primary, w.pool.Group)}
 	}
 
