--- a/internal/consensus/managed_test.go
+++ b/internal/consensus/managed_test.go
@@ -56,6 +56,33 @@
 	c.requireLatest(2)
 }
 
+// Guards against an even number of members: a log of six that is cut in two halves has no majority in either.
+func TestLogGrowsToAnOddNumber(t *testing.T) {
+	t.Parallel()
+
+	c := managedCluster(t, 7, "d", "e", "f")
+	c.eventually("five voters", func() bool { return len(c.voters()) == 5 })
+
+	const beats = 100
+
+	from := c.processes["a"].clock.beats.Load()
+
+	c.eventually("many heartbeats", func() bool { return c.processes["a"].clock.beats.Load() > from+beats })
+	require.Len(t, c.voters(), 5)
+
+	// The sixth takes the place of a member that is lost.
+	voters := c.voters()
+	lost := without(voters, c.leader())[0]
+	c.stop(lost)
+	c.eventually("the sixth votes", func() bool {
+		now := c.voters()
+
+		return len(now) == 5 && !contains(now, lost)
+	})
+	c.propose(2)
+	c.requireLatest(2)
+}
+
 // Guards against a log that bears no further loss after a VM was replaced by an empty one at another address, and
 // against a member that stays outside after it was only cut off.
 func TestSilentMemberIsReplaced(t *testing.T) {
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -164,7 +164,7 @@
 		}
 	}
 
-	if len(status.Configuration.Members) < g.options.Grow {
+	if g.grows(status) {
 		return true
 	}
 
@@ -173,6 +173,23 @@
 	return vacant
 }
 
+// grows reports whether a further member may join. The number of members stays odd, because an even one bears no more
+// losses than the odd one below it, and half of an even one can't go on without the other: on teranga-postal-grown, six
+// members that were cut in two served no reads of the latest data for five seconds.
+func (g *Group) grows(status replog.Status) bool {
+	present, joining := len(status.Configuration.Members), 0
+
+	for id, known := range g.peers {
+		if _, found := status.Configuration.Find(id); !found && g.joinable(known) {
+			joining++
+		}
+	}
+
+	odd := present%2 == 1
+
+	return present < g.options.Grow && (!odd || joining > 1 && present+1 < g.options.Grow)
+}
+
 // joinable reports whether a peer outside the group may be admitted: it is blank, or was replaced while it was silent
 // and has kept its log and its votes.
 func (g *Group) joinable(known peer) bool {
