internal/gateway, io/hop: a session keeps its position; calls to a lost proxy don't queue

Found by reading. Cause 1: a holder that had rolled back a transaction answered without the position of the session's last commit, and the sender took that for zero, so that later reads of the session could lack its own commit. Cause 2: calls to a VM without power made one attempt to connect of 0.25 s after the other. Change: a session's position only grows; after a failure to connect, calls fail for 0.1 s without an attempt.

--- a/internal/gateway/holder.go
+++ b/internal/gateway/holder.go
@@ -218,7 +218,9 @@
 
 // settleForward notes what a reply says of the session.
 func (s *session) settleForward(statement Statement, reply *ForwardReply, from *placement.Proxy) {
-	s.wrote = reply.Wrote
+	if s.wrote.Less(reply.Wrote) {
+		s.wrote = reply.Wrote
+	}
 
 	if reply.Failure != nil {
 		s.gateway.options.Logger.Info("holder refused the request", "request", statement.ID, "holder", from.Name, "error",
--- a/io/hop/hop_test.go
+++ b/io/hop/hop_test.go
@@ -95,6 +95,9 @@
 	peers := newPeers(t)
 	require.ErrorIs(t, peers.Call(t.Context(), address, &message{}, new(message)), hop.ErrNotSent)
 
+	// A failure to connect is remembered for a moment.
+	time.Sleep(150 * time.Millisecond)
+
 	// This one takes a request and ends the connection.
 	listener, err := net.Listen("tcp", address.String())
 	require.NoError(t, err)
@@ -127,6 +130,28 @@
 	require.NoError(t, peers.Call(t.Context(), address, &message{"x"}, new(message)))
 }
 
+// Guards against calls to a VM that lost power which wait for one attempt to connect after the other.
+func TestUnreachableProxy(t *testing.T) {
+	t.Parallel()
+
+	// Nothing answers at this address, which is reserved for documentation; some networks refuse it at once.
+	address := netip.MustParseAddrPort("192.0.2.1:9")
+	peers := newPeers(t)
+
+	var calls sync.WaitGroup
+
+	began := time.Now()
+
+	for range 20 {
+		calls.Go(func() {
+			assert.ErrorIs(t, peers.Call(t.Context(), address, &message{}, new(message)), hop.ErrNotSent)
+		})
+	}
+
+	calls.Wait()
+	assert.Less(t, time.Since(began), 2*time.Second, "20 attempts of 0.25 s")
+}
+
 // Guards against calls that stay with a connection which has gone silent, and against the end of those in progress on it
 // because one of them was late.
 func TestSilentConnection(t *testing.T) {
--- a/io/hop/peers.go
+++ b/io/hop/peers.go
@@ -16,6 +16,9 @@
 const (
 	// connectTimeout bounds the opening of a connection. Data centres are 2 ms apart.
 	connectTimeout = 250 * time.Millisecond
+	// failedPause is the time after a failure to connect in which no further attempt is made. A process that restarts
+	// takes about a second.
+	failedPause = 100 * time.Millisecond
 	// retireTime is the time that calls in progress get on a connection which may be silent. Statements take less.
 	retireTime = 5 * time.Second
 )
@@ -38,6 +41,8 @@
 type peer struct {
 	mutex   sync.Mutex
 	present *connection
+	// failed is the time of the last failure to connect.
+	failed time.Time
 }
 
 // connection carries calls to a proxy.
@@ -115,8 +120,9 @@
 		return p.present, nil
 	}
 
-	if err := ctx.Err(); err != nil {
-		return nil, eris.Wrap(err, "connect")
+	// Calls that have waited for an attempt which failed don't make one each.
+	if time.Since(p.failed) < failedPause {
+		return nil, eris.New("the last attempt to connect has just failed")
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
@@ -124,6 +130,8 @@
 
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
 	if err != nil {
+		p.failed = time.Now()
+
 		return nil, eris.Wrap(err, "connect")
 	}
 
