internal/bench: begin the restarts of a test with the traffic

Its ten restarts, 0.1 s apart, began with the test; on a busy VM the preparation of the run takes longer than all of them.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -112,8 +112,13 @@
 	restarts := make(chan int)
 
 	go func() {
-		// The restarts end before the check of the final state, which needs a server that stays.
-		const most = 10
+		// The restarts begin with the traffic: on a busy VM, its preparation may take longer than all of them. They end
+		// before the check of the final state, which needs a server that stays.
+		const most, prepared = 10, 50
+
+		for arrived(m) < prepared && !isClosed(ended) {
+			time.Sleep(time.Millisecond)
+		}
 
 		for n := 0; ; n++ {
 			pause := time.After(100 * time.Millisecond)
@@ -147,6 +152,24 @@
 	assert.Positive(t, failed)
 }
 
+// arrived returns the number of statements that a member has got.
+func arrived(m *standin.Member) (count uint64) {
+	for _, one := range m.Status().Statements {
+		count += one
+	}
+
+	return count
+}
+
+func isClosed(signal <-chan struct{}) bool {
+	select {
+	case <-signal:
+		return true
+	default:
+		return false
+	}
+}
+
 func portOf(m *standin.Member) string {
 	return strconv.Itoa(int(m.Addr().Port()))
 }
