internal/gateway, internal/fleet, internal/consensus, core/result: one piece for what stood twice

- internal/gateway: read, write and the first statement of a transaction each had the loop over servers; work.run is that loop.
The policy "fresh" was looked up by name, with a panic, for each read; route.Fresh returns it, and internal/proxy, which dropped the error of the same look-up, calls it too.
A retired pool is one with a limit of zero, not a flag beside it; retire and close share wake and empty, reserve asks opens.
Forwarded.Session, ForwardReply.State and the group of a transaction were written and never read.
- internal/fleet: an announcement is compared by deployment.Server.Newer, which heard.newer repeated; whether there is another server is len(replicas); takeover.Evidence.Announced was worked out at each probe and only logged, so that it is now worked out where it is logged; pause takes no context, which was always the leadership's.
- internal/consensus: silent and gone differ in a number (unheard), vacancy and replaced in a name (replaceable).
- core/result: Restore is the error of a code and a reason from another process, which four places built.

Ruled out: the first election timeout as a plain draw (it would come later).

--- a/core/deployment/command.go
+++ b/core/deployment/command.go
@@ -136,9 +136,5 @@
 
 // Err returns the answer as an error, or nil if the command was accepted.
 func (a Answer) Err() error {
-	if a.Code == result.OK {
-		return nil
-	}
-
-	return result.New(a.Code, "%s", a.Reason)
+	return result.Restore(a.Code, a.Reason)
 }
--- a/core/registry/command.go
+++ b/core/registry/command.go
@@ -172,9 +172,5 @@
 
 // Err returns the answer as an error, or nil if the command took effect.
 func (a Answer) Err() error {
-	if a.Code == result.OK {
-		return nil
-	}
-
-	return result.New(a.Code, "%s", a.Reason)
+	return result.Restore(a.Code, a.Reason)
 }
--- a/core/result/error.go
+++ b/core/result/error.go
@@ -20,6 +20,15 @@
 	return &Error{Code: code, Reason: formatted.Error(), cause: errors.Unwrap(formatted)}
 }
 
+// Restore returns the error that a code and a reason stand for after they were sent to another process, or nil for OK.
+func Restore(code Code, reason string) error {
+	if code == OK {
+		return nil
+	}
+
+	return New(code, "%s", reason)
+}
+
 // Error implements error. The text begins with the code, as "AG1302: ...".
 func (e *Error) Error() string {
 	return "AG" + strconv.FormatUint(uint64(e.Code), 10) + ": " + e.Reason
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -25,7 +25,7 @@
 func Named(name string) (Policy, error) {
 	switch name {
 	case "fresh":
-		return fresh{}, nil
+		return Fresh(), nil
 	case "primary":
 		return primaryOnly{}, nil
 	case "turn":
@@ -35,6 +35,11 @@
 	}
 }
 
+// Fresh returns the policy "fresh".
+func Fresh() Policy {
+	return fresh{}
+}
+
 // fresh prefers replicas.
 type fresh struct{}
 
--- a/core/takeover/judge.go
+++ b/core/takeover/judge.go
@@ -38,9 +38,7 @@
 	Probes failover.State
 	// Leaving is true if the primary has announced a planned stop.
 	Leaving bool
-	// Announced is true if the primary has announced itself within two intervals.
-	Announced bool
-	Sights    []Sight
+	Sights  []Sight
 }
 
 // Judge decides whether a primary is to be replaced.
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -168,9 +168,7 @@
 		return true
 	}
 
-	_, vacant := g.vacancy(status)
-
-	return vacant
+	return g.vacant(status)
 }
 
 // grows reports whether a further member may join. The number of members stays odd, because an even one bears no more
@@ -201,31 +199,27 @@
 		g.options.Replace && known.hello.Stage == active && known.hello.Group == g.identity.Group
 }
 
-// vacancy returns a silent voter that a new member may replace. There is none while another member is joining: it takes
-// the place.
-func (g *Group) vacancy(status replog.Status) (silent replog.Member, found bool) {
-	for _, member := range status.Configuration.Members {
-		switch {
-		case !member.Voter:
-			return replog.Member{}, false
-		case g.options.Replace && g.gone(member.ID):
-			silent, found = member, true
-		}
-	}
+// vacant reports whether there is a silent voter that a new member may replace. There is none while another member is
+// joining: it takes the place.
+func (g *Group) vacant(status replog.Status) bool {
+	joining := slices.ContainsFunc(status.Configuration.Members, func(m replog.Member) bool { return !m.Voter })
+	_, found := g.replaceable(status, "")
 
-	return silent, found
+	return !joining && found
 }
 
 // silent reports whether nothing was heard of a member for some time.
 func (g *Group) silent(id replog.ID) bool {
-	known, found := g.peers[id]
-
-	return id != g.identity.ID && g.age > g.silentTicks() && (!found || known.ticks > g.silentTicks())
+	return g.unheard(id, g.silentTicks())
 }
 
 // gone reports whether a member has been silent for so long that another one may take its place.
 func (g *Group) gone(id replog.ID) bool {
-	ticks := int(replaceSilence / g.options.Heartbeat)
+	return g.unheard(id, int(replaceSilence/g.options.Heartbeat))
+}
+
+// unheard reports whether nothing was heard of another member for a number of heartbeats.
+func (g *Group) unheard(id replog.ID, ticks int) bool {
 	known, found := g.peers[id]
 
 	return id != g.identity.ID && g.age > ticks && (!found || known.ticks > ticks)
@@ -243,7 +237,7 @@
 		}
 	}
 
-	if replaced, found := g.replaced(status, member); found {
+	if replaced, found := g.replaceable(status, member.Name); found {
 		g.change(replog.Remove, replaced)
 
 		return
@@ -252,14 +246,14 @@
 	g.change(replog.Promote, member)
 }
 
-// replaced returns the silent voter whose place a joining member takes, if its name is new to the group.
-func (g *Group) replaced(status replog.Status, joining replog.Member) (silent replog.Member, found bool) {
+// replaceable returns a silent voter whose place a joining member of another name may take.
+func (g *Group) replaceable(status replog.Status, joining string) (silent replog.Member, found bool) {
 	if !g.options.Replace {
 		return replog.Member{}, false
 	}
 
 	for _, member := range status.Configuration.Members {
-		if member.Voter && member.Name != joining.Name && g.gone(member.ID) {
+		if member.Voter && member.Name != joining && g.gone(member.ID) {
 			silent, found = member, true
 		}
 	}
--- a/internal/fleet/leadership.go
+++ b/internal/fleet/leadership.go
@@ -44,9 +44,8 @@
 
 // heard is the last announcement of a server.
 type heard struct {
-	started  int64
-	sequence uint64
-	at       time.Time
+	server deployment.Server
+	at     time.Time
 }
 
 // report is what a proxy said last.
@@ -74,7 +73,7 @@
 	leases *lease.Table
 	heard  map[string]heard
 	// ended are the servers that were withdrawn, with their last announcement.
-	ended   map[string]heard
+	ended   map[string]deployment.Server
 	reports map[string]report
 	// peers are the proxies that take statements from others.
 	peers map[string]peer
@@ -107,8 +106,8 @@
 
 	return &leadership{
 		controller: c, term: term, ctx: ctx, cancel: cancel, began: now, leases: lease.New(now, leaseTime),
-		heard: make(map[string]heard), ended: make(map[string]heard), reports: make(map[string]report), peers: make(map[string]peer), fewer: now,
-		used:    make(map[string]map[string]uint64),
+		heard: make(map[string]heard), ended: make(map[string]deployment.Server), reports: make(map[string]report),
+		peers: make(map[string]peer), fewer: now, used: make(map[string]map[string]uint64),
 		changed: make(chan struct{}), stewards: make(container.Set[string]),
 		shares: make(map[string]*share.Table), positions: make(map[string]sighting),
 	}
@@ -139,7 +138,7 @@
 			l.controller.options.Logger.Warn("leadership could not be confirmed", "term", l.term, "error", err)
 		}
 
-		l.pause(l.ctx, confirmInterval)
+		l.pause(confirmInterval)
 	}
 }
 
@@ -156,9 +155,9 @@
 	l.confirmed = began
 }
 
-// pause waits. It is false if the context ended.
-func (l *leadership) pause(ctx context.Context, delay time.Duration) bool {
-	return timer.Sleep(ctx, delay) == nil
+// pause waits. It is false if the leadership ended.
+func (l *leadership) pause(delay time.Duration) bool {
+	return timer.Sleep(l.ctx, delay) == nil
 }
 
 // refresh renews the view if anything in it has changed, starts the stewards of new groups and removes servers that
@@ -301,23 +300,23 @@
 			continue
 		}
 
-		last := heard{started: server.Started, sequence: server.Sequence, at: now}
-		l.heard[id] = last // The next attempt comes after as long a time.
+		l.heard[id] = heard{server, now} // The next attempt comes after as long a time.
 
 		l.running.Go(func() {
-			if err := l.forget(l.ctx, id, last); err != nil {
+			if err := l.forget(l.ctx, server); err != nil {
 				l.controller.options.Logger.Warn("silent server could not be removed", "server", id, "error", err)
 			}
 		})
 	}
 }
 
-func (l *leadership) forget(ctx context.Context, id string, last heard) error {
+// forget removes a server unless it has announced itself after the given announcement.
+func (l *leadership) forget(ctx context.Context, last deployment.Server) error {
 	_, err := l.controller.propose(ctx, deployment.Command{
-		Forget: &deployment.Forget{ID: id, Started: last.started, Sequence: last.sequence},
+		Forget: &deployment.Forget{ID: last.ID, Started: last.Started, Sequence: last.Sequence},
 	})
 	if err == nil {
-		l.controller.options.Logger.Info("server removed", "server", id)
+		l.controller.options.Logger.Info("server removed", "server", last.ID)
 		l.refresh(time.Now())
 	}
 
@@ -502,19 +501,17 @@
 
 // announce notes an announcement and records what is new in it.
 func (l *leadership) announce(ctx context.Context, server deployment.Server) error {
-	next := heard{started: server.Started, sequence: server.Sequence, at: time.Now()}
-
 	l.mutex.Lock()
 	last, known := l.heard[server.ID]
 	over, ended := l.ended[server.ID]
 
-	if known && !next.newer(last) || ended && !next.newer(over) {
+	if known && !server.Newer(last.server) || ended && !server.Newer(over) {
 		l.mutex.Unlock()
 
 		return nil
 	}
 
-	l.heard[server.ID] = next
+	l.heard[server.ID] = heard{server, time.Now()}
 	l.mutex.Unlock()
 
 	recorded, exists := l.controller.options.State.View().Servers[server.ID]
@@ -540,32 +537,22 @@
 	return nil
 }
 
-func (h heard) newer(than heard) bool {
-	if h.started != than.started {
-		return h.started > than.started
-	}
-
-	return h.sequence > than.sequence
-}
-
 // withdraw removes a server that has ended.
 func (l *leadership) withdraw(ctx context.Context, id string) error {
-	recorded, known := l.controller.options.State.View().Servers[id]
+	last, known := l.controller.options.State.View().Servers[id]
 	if !known {
 		return nil
 	}
 
 	l.mutex.Lock()
-	last := heard{started: recorded.Started, sequence: recorded.Sequence, at: time.Now()}
-
-	if newest, announced := l.heard[id]; announced && newest.newer(last) {
-		last = newest
+	if newest, announced := l.heard[id]; announced && newest.server.Newer(last) {
+		last = newest.server
 	}
 
 	l.ended[id] = last
 	l.mutex.Unlock()
 
-	return l.forget(ctx, id, last)
+	return l.forget(ctx, last)
 }
 
 // pending returns the proxies that may still use the servers of a group as a view before the given version says. One
--- a/internal/fleet/steward.go
+++ b/internal/fleet/steward.go
@@ -41,7 +41,7 @@
 	for s.leadership.ctx.Err() == nil {
 		began := time.Now()
 		s.step()
-		s.leadership.pause(s.leadership.ctx, probeInterval-min(probeInterval, time.Since(began)))
+		s.leadership.pause(probeInterval - min(probeInterval, time.Since(began)))
 	}
 }
 
@@ -121,13 +121,11 @@
 	}
 
 	now := time.Now()
-	evidence.Announced = s.leadership.announced(now, group.Primary)
-
 	for _, sight := range s.leadership.sights(now, group.Primary) {
 		evidence.Sights = append(evidence.Sights, takeover.Sight{Reached: sight.Reached, Failing: sight.Failing})
 	}
 
-	if takeover.Judge(evidence) != takeover.Replace || !s.replaceable(view, group) {
+	if takeover.Judge(evidence) != takeover.Replace || len(s.replicas(view, group)) == 0 {
 		return
 	}
 
@@ -135,7 +133,7 @@
 		Fence: &deployment.Fence{Group: s.group, Primary: group.Primary, Planned: known && primary.Leaving && evidence.Probes != failover.Dead},
 	})
 	s.logger().Warn("takeover begins", "group", s.group, "primary", group.Primary, "known", known, "probes",
-		evidence.Probes.String(), "leaving", evidence.Leaving, "announced", evidence.Announced, "sights", evidence.Sights,
+		evidence.Probes.String(), "leaving", evidence.Leaving, "announced", s.leadership.announced(now, group.Primary), "sights", evidence.Sights,
 		"error", err)
 
 	if err == nil {
@@ -143,17 +141,6 @@
 	}
 }
 
-// replaceable reports whether there is another server that could become the primary.
-func (s *steward) replaceable(view *deployment.View, group deployment.Group) bool {
-	for id, server := range view.Servers {
-		if server.Group == s.group && id != group.Primary {
-			return true
-		}
-	}
-
-	return false
-}
-
 // look probes a server and passes the outcome to the detector. A failure on the open connection is checked at once on a
 // new one, because the connection alone may be lost.
 func (s *steward) look(server deployment.Server) finding {
--- a/internal/fleet/takeover.go
+++ b/internal/fleet/takeover.go
@@ -54,7 +54,7 @@
 
 		token, chosen := s.choose(view, group)
 		if token == 0 {
-			if !s.leadership.pause(s.leadership.ctx, probeInterval) {
+			if !s.leadership.pause(probeInterval) {
 				return
 			}
 
@@ -90,7 +90,7 @@
 			return false
 		}
 
-		if !s.leadership.pause(s.leadership.ctx, pendingInterval) || options.State.View().Groups[s.group].Epoch != group.Epoch {
+		if !s.leadership.pause(pendingInterval) || options.State.View().Groups[s.group].Epoch != group.Epoch {
 			return false
 		}
 	}
@@ -240,7 +240,7 @@
 			return candidates
 		}
 
-		if !s.leadership.pause(s.leadership.ctx, promotionInterval) {
+		if !s.leadership.pause(promotionInterval) {
 			return candidates
 		}
 
@@ -309,7 +309,7 @@
 			return group.Term + 1
 		}
 
-		if !s.leadership.pause(s.leadership.ctx, promotionInterval) {
+		if !s.leadership.pause(promotionInterval) {
 			break
 		}
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -14,8 +14,6 @@
 // that the holder needs to know of the session, so that each statement may go to another holder.
 type Forwarded struct {
 	Statement Statement `cbor:"1,keyasint"`
-	// Session is the number of the session at the sender.
-	Session uint64 `cbor:"2,keyasint"`
 	// Pool is the pool as the sender's configuration describes it.
 	Pool   deployment.Pool   `cbor:"3,keyasint"`
 	Values map[string]string `cbor:"4,keyasint,omitempty"`
@@ -44,7 +42,6 @@
 type ForwardReply struct {
 	Rows      []string          `cbor:"1,keyasint,omitempty"`
 	Signature string            `cbor:"2,keyasint,omitempty"`
-	State     State             `cbor:"3,keyasint,omitempty"`
 	Position  position.Position `cbor:"4,keyasint,omitempty"`
 	// Wrote is the position of the session's last commit after the statement.
 	Wrote position.Position `cbor:"5,keyasint,omitempty"`
@@ -154,7 +151,7 @@
 	g.keep(forwarded.Transaction, one, one.session.tx.phase == txOpen)
 
 	return &ForwardReply{
-		Rows: reply.Rows, Signature: reply.Signature, State: reply.State, Position: reply.Position,
+		Rows: reply.Rows, Signature: reply.Signature, Position: reply.Position,
 		Wrote: one.session.wrote, Failure: failureOf(reply.Err),
 	}
 }
--- a/internal/gateway/holder.go
+++ b/internal/gateway/holder.go
@@ -108,7 +108,7 @@
 // newForward returns a statement for a holder.
 func (s *session) newForward(pool deployment.Pool, command Command, needed *prepared) *forward {
 	message := &Forwarded{
-		Statement: command.Statement, Session: s.number, Pool: pool, Values: s.values, Wrote: s.wrote,
+		Statement: command.Statement, Pool: pool, Values: s.values, Wrote: s.wrote,
 	}
 
 	if needed != nil {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -67,7 +67,8 @@
 	// opening counts those that are being opened.
 	opening int64
 	waiting []*waiter
-	// limit is the number of connections that the proxy may hold. Until control has granted one it is an equal part.
+	// limit is the number of connections that the proxy may hold. Until control has granted one it is an equal part. It is
+	// zero while other proxies hold the connections to the server.
 	limit   int
 	granted bool
 	// wanted is the greatest number of connections that could have been used at one moment since the last report.
@@ -83,8 +84,6 @@
 	// strict keeps the number of statements at the server below fair even while it has room. They wait here by priority;
 	// at the server they would wait in the order of arrival.
 	strict bool
-	// retired is true while other proxies hold the connections to the server.
-	retired bool
 }
 
 // divide sets the limit to an equal part of what the server accepts, until control grants another one. With strict, the
@@ -98,7 +97,7 @@
 		least, factor = strictLeast, strictFactor
 	}
 
-	p.retired, p.strict = false, strict
+	p.strict = strict
 	p.fair = max(least, int64(factor*p.server.info.Load().Slots/max(1, proxies)))
 
 	if !p.granted {
@@ -110,7 +109,7 @@
 func (p *pool) grant(limit int) {
 	p.mutex.Lock()
 
-	if p.retired {
+	if p.retired() {
 		p.mutex.Unlock()
 
 		return
@@ -127,15 +126,16 @@
 // retire makes the pool hold no connections, because other proxies do. Those in use are closed when they are returned.
 func (p *pool) retire() {
 	p.mutex.Lock()
-	p.limit, p.granted, p.retired = 0, false, true
-	surplus := p.surplus(func(*conn) bool { return true })
-
-	for range p.waiting {
-		p.next().ready <- nil
-	}
+	p.limit, p.granted = 0, false
+	p.wake()
 	p.mutex.Unlock()
 
-	closeAll(surplus)
+	p.empty()
+}
+
+// retired reports whether other proxies hold the connections to the server. The mutex is held.
+func (p *pool) retired() bool {
+	return p.limit == 0
 }
 
 // demand returns what the pool holds and wants, and begins a new period.
@@ -201,7 +201,7 @@
 		return nil, nil, result.New(result.ServerUnreachable, "server %s is gone", p.server.id)
 	}
 
-	if p.retired {
+	if p.retired() {
 		return nil, nil, result.New(result.ServerUnreachable, "other proxies hold the connections to server %s", p.server.id)
 	}
 
@@ -438,9 +438,9 @@
 	p.wake()
 }
 
-// wake lets as many waiters try again as may open a connection. The mutex is held.
+// wake lets as many waiters try again as may open a connection, or all if none ever will. The mutex is held.
 func (p *pool) wake() {
-	for room := p.limit - p.open; (room > 0 || p.closed) && len(p.waiting) > 0; room-- {
+	for room := p.limit - p.open; (room > 0 || p.closed || p.retired()) && len(p.waiting) > 0; room-- {
 		p.next().ready <- nil
 	}
 }
@@ -463,13 +463,13 @@
 	return surplus
 }
 
-// suspect closes the idle connections, because one of them went silent.
-func (p *pool) suspect() {
+// empty closes the idle connections: one of them went silent, or the pool holds none any more.
+func (p *pool) empty() {
 	p.mutex.Lock()
-	silent := p.surplus(func(*conn) bool { return true })
+	idle := p.surplus(func(*conn) bool { return true })
 	p.mutex.Unlock()
 
-	closeAll(silent)
+	closeAll(idle)
 }
 
 // reserve counts a first connection that warm is to open, if there is none and nothing speaks against it.
@@ -478,7 +478,7 @@
 	defer p.mutex.Unlock()
 
 	now := time.Now()
-	if p.open > 0 || p.closed || p.retired || now.Before(p.until) || p.server.unreachable(now) {
+	if p.open > 0 || p.closed || !p.opens(now) || p.server.unreachable(now) {
 		return false
 	}
 
@@ -511,7 +511,7 @@
 	p.wake()
 	p.mutex.Unlock()
 
-	p.suspect()
+	p.empty()
 }
 
 func closeAll(connections []*conn) {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -28,7 +28,6 @@
 	readOnly bool
 	conn     *conn
 	server   *server
-	group    *group
 	pool     deployment.Pool
 	wrote    bool
 	// holder is the other proxy that keeps the transaction, under a number; nil for one that this proxy keeps.
@@ -143,39 +142,22 @@
 	w := &work{
 		session: s, pool: s.tx.pool, command: command, needed: needed, deadline: time.Now().Add(s.tx.pool.Timeout),
 	}
-	begin := Command{Statement: Statement{Kind: Begin}}
+	begin, choose := Command{Statement: Statement{Kind: Begin}}, w.primary
 
 	if s.tx.readOnly {
-		begin.Kind = BeginRead
+		begin.Kind, choose = BeginRead, w.choose
 	}
 
-	for w.again() {
-		to, err := w.forTransaction(s.tx.readOnly)
-		if err != nil {
-			if !w.hold(err) {
-				break
-			}
-
-			continue
-		}
-
-		attempt := begin
-		answer, err := w.attempt(to, &attempt)
-
-		if err == nil && answer.Outcome == Done {
-			s.tx.phase, s.tx.server, s.tx.group = txOpen, to.server, to.group
-
-			return s.ran(command, answer)
-		}
-
-		w.failed(to, answer, err)
-
+	to, answer, done := w.run(choose, &begin, func(_ target, answer Answer, err error) bool {
 		var lost *lostError
 
 		// A commit that was sent may have been carried out, though the transaction holds nothing.
-		if err == nil && answer.Outcome.Ran() || errors.As(err, &lost) && command.Kind == Commit {
-			break
-		}
+		return err == nil && answer.Outcome.Ran() || errors.As(err, &lost) && command.Kind == Commit
+	})
+	if done {
+		s.tx.phase, s.tx.server = txOpen, to.server
+
+		return s.ran(command, answer)
 	}
 
 	reply := w.give()
@@ -188,15 +170,6 @@
 	return s.abandon(command, reply.Err)
 }
 
-// forTransaction returns the server for a transaction.
-func (w *work) forTransaction(readOnly bool) (target, error) {
-	if readOnly {
-		return w.choose()
-	}
-
-	return w.primary()
-}
-
 // next runs a further statement of a transaction on its connection.
 func (s *session) next(command Command, needed *prepared) Reply {
 	used := s.tx.conn
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -52,10 +52,13 @@
 	now time.Time
 }
 
-// read runs a single read.
-func (w *work) read() Reply {
+// run tries the statement on one server after another until one has run it. It is false if the statement was given up.
+// Choose returns the next server, and final reports whether the statement must not be tried again after a failure.
+func (w *work) run(
+	choose func() (target, error), begin *Command, final func(to target, answer Answer, err error) bool,
+) (target, Answer, bool) {
 	for w.again() {
-		to, err := w.choose()
+		to, err := choose()
 		if err != nil {
 			if !w.hold(err) {
 				break
@@ -64,51 +67,50 @@
 			continue
 		}
 
-		answer, err := w.attempt(to, nil)
+		answer, err := w.attempt(to, begin)
 		if err == nil && answer.Outcome == Done {
-			return Reply{Rows: answer.Rows, Signature: answer.Signature, Position: answer.Position}
+			return to, answer, true
 		}
 
 		w.failed(to, answer, err)
-	}
-
-	return w.give()
-}
-
-// write runs a single write.
-func (w *work) write() Reply {
-	for w.again() {
-		to, err := w.primary()
-		if err != nil {
-			if !w.hold(err) {
-				break
-			}
 
-			continue
+		if final(to, answer, err) {
+			break
 		}
+	}
 
-		answer, err := w.attempt(to, nil)
-		if err == nil && answer.Outcome == Done {
-			w.session.wrote = answer.Position
+	return target{}, Answer{}, false
+}
 
-			return Reply{Rows: answer.Rows, Signature: answer.Signature, Position: answer.Position}
-		}
+// read runs a single read, which may run more than once.
+func (w *work) read() Reply {
+	_, answer, done := w.run(w.choose, nil, func(target, Answer, error) bool { return false })
+	if !done {
+		return w.give()
+	}
 
-		w.failed(to, answer, err)
+	return Reply{Rows: answer.Rows, Signature: answer.Signature, Position: answer.Position}
+}
 
+// write runs a single write.
+func (w *work) write() Reply {
+	_, answer, done := w.run(w.primary, nil, func(to target, answer Answer, err error) bool {
 		var lost *lostError
 		if errors.As(err, &lost) {
 			w.reason = result.New(result.ConnectionLost, "server %s did not answer the write: %w", to.server.id, lost.cause)
 
-			break
+			return true
 		}
 
-		if err == nil && answer.Outcome.Ran() {
-			break
-		}
+		return err == nil && answer.Outcome.Ran()
+	})
+	if !done {
+		return w.give()
 	}
 
-	return w.give()
+	w.session.wrote = answer.Position
+
+	return Reply{Rows: answer.Rows, Signature: answer.Signature, Position: answer.Position}
 }
 
 // again reports whether another attempt may be made, and waits before it.
@@ -342,7 +344,7 @@
 
 	for _, one := range within.servers {
 		described := one.describe(one == within.primary && within.Phase == deployment.Stable)
-		if w.avoided(one.id) || one == within.primary && within.Phase != deployment.Stable {
+		if slices.Contains(w.avoid, one.id) || one == within.primary && within.Phase != deployment.Stable {
 			described.Reachable = false
 		}
 
@@ -355,12 +357,7 @@
 
 	w.session.candidates = servers
 
-	policy, err := route.Named("fresh")
-	if err != nil {
-		panic(err) // The name is one of route.Names.
-	}
-
-	choice := policy.Choose(route.Request{
+	choice := route.Fresh().Choose(route.Request{
 		Now: time.Now(), Floor: floor, Centre: w.session.gateway.options.Centre, Servers: servers, Turn: rand.Uint64(),
 	})
 	if choice.Kind != route.Replica {
@@ -376,10 +373,6 @@
 	return nil
 }
 
-func (w *work) avoided(id string) bool {
-	return slices.Contains(w.avoid, id)
-}
-
 // lostError says that a statement was sent and not answered.
 type lostError struct {
 	cause error
@@ -412,8 +405,9 @@
 
 	last := w.command
 	if begin != nil {
-		begin.After = to.after
-		commands = append(commands, *begin)
+		opening := *begin
+		opening.After = to.after
+		commands = append(commands, opening)
 	} else if !last.Writes {
 		last.After = to.after
 	}
@@ -514,7 +508,7 @@
 	case errors.As(err, &lost):
 		w.reason = result.New(result.ServerUnreachable, "server %s did not answer: %w", to.server.id, lost.cause)
 		// Other connections of the time may be silent as well.
-		to.server.pool.suspect()
+		to.server.pool.empty()
 	case err != nil && result.CodeOf(err) != result.OK:
 		w.reason = err
 	case err != nil:
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -115,7 +115,7 @@
 	}
 
 	if options.Router == nil {
-		options.Router, _ = route.Named("fresh")
+		options.Router = route.Fresh()
 	}
 
 	server := &Server{
--- a/io/fleet/message.go
+++ b/io/fleet/message.go
@@ -110,11 +110,7 @@
 
 // Err returns the receipt as an error, or nil if the call was carried out.
 func (r Receipt) Err() error {
-	if r.Code == result.OK {
-		return nil
-	}
-
-	return result.New(r.Code, "%s", r.Reason)
+	return result.Restore(r.Code, r.Reason)
 }
 
 // Introduction names control processes. A process that keeps the log sends it to the processes that the settings name as
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -182,7 +182,7 @@
 		return eris.Errorf("HTTP status %d without a result code: %s", status, failure.Reason)
 	}
 
-	return result.New(failure.Code, "%s", failure.Reason)
+	return result.Restore(failure.Code, failure.Reason)
 }
 
 // once asks one process. The error is about the connection.
