internal/deployed, io/dial, internal/gateway: decisions out of platform/, one way to connect

- platform/ chose between a member of the log and a relay and had the serving of both; deployed.NewControl chooses by the data folder, and platform/ serves either (deployed.ControlProcess).
RelayOptions repeated ControlOptions.
- platform/ decided when a refused caller should come back, from the word it had chosen; gateway.RetryAfter decides it from the error, and the word BUSY follows from that.
The text on the wire is the same (TestRetryAfter and the table of words).
- internal/deployed, internal/daemon and io/peer each built a gRPC connection with bounded pauses; io/dial does it.
The factor and jitter that io/peer had are the library's.

--- a/internal/daemon/dial.go
+++ b/internal/daemon/dial.go
@@ -5,14 +5,13 @@
 	"net/netip"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
 	"almondgrade/internal/security"
+	"almondgrade/io/dial"
 )
 
 const (
@@ -38,22 +37,13 @@
 			transport = credentials.NewTLS(config)
 		}
 
-		connection, err := grpc.NewClient("passthrough:///"+address.String(),
+		return dial.Process(address, dial.Pace{Timeout: connectTimeout, Least: minReconnect, Most: maxReconnect},
 			grpc.WithTransportCredentials(transport),
 			grpc.WithKeepaliveParams(keepalive.ClientParameters{
 				Time: keepalivePeriod, Timeout: keepaliveTimeout, PermitWithoutStream: true,
 			}),
-			grpc.WithConnectParams(grpc.ConnectParams{
-				Backoff: backoff.Config{
-					BaseDelay: minReconnect, Multiplier: backoff.DefaultConfig.Multiplier,
-					Jitter: backoff.DefaultConfig.Jitter, MaxDelay: maxReconnect,
-				},
-				MinConnectTimeout: connectTimeout,
-			}),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageLimit)),
 		)
-
-		return connection, eris.Wrapf(err, "connect to %s", address)
 	}
 }
 
--- a/internal/deployed/control.go
+++ b/internal/deployed/control.go
@@ -14,7 +14,6 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"almondgrade/core/deployment"
@@ -23,6 +22,7 @@
 	"almondgrade/internal/fleet"
 	"almondgrade/internal/gateway"
 	"almondgrade/internal/metrics"
+	"almondgrade/io/dial"
 	iofleet "almondgrade/io/fleet"
 )
 
@@ -52,7 +52,7 @@
 	introduceInterval = 500 * time.Millisecond
 )
 
-// ControlOptions describe a Control.
+// ControlOptions describe a control process.
 type ControlOptions struct {
 	Name string
 	// Address is where other processes of the system reach this one.
@@ -61,7 +61,7 @@
 	// the group.
 	Seeds func() []netip.AddrPort
 	First bool
-	// Folder is the data folder.
+	// Folder is the data folder. A process without one keeps no log and is a Relay.
 	Folder   string
 	Dial     gateway.Dialer
 	Promote  func(ctx context.Context, order fleet.Order) (fleet.Promotion, error)
@@ -71,7 +71,17 @@
 	Logger *slog.Logger
 }
 
-// Control is a control process.
+// ControlProcess is a Control or a Relay.
+type ControlProcess interface {
+	// Run serves until the context ends.
+	Run(ctx context.Context) error
+	// Metrics returns the handler of the metrics address.
+	Metrics() http.Handler
+	// Carry carries out a call of a backend server or an operator at the leader.
+	Carry(ctx context.Context, delivery *iofleet.Delivery) (*iofleet.Receipt, error)
+}
+
+// Control is a control process that keeps the log.
 type Control struct {
 	options    ControlOptions
 	clock      *timer.Clock
@@ -82,8 +92,8 @@
 	metrics    *metrics.Metrics
 }
 
-// NewControl starts a control process. Members are named by their address, because nothing else of a seed is known.
-func NewControl(options ControlOptions) (*Control, error) {
+// NewControl starts a control process.
+func NewControl(options ControlOptions) (ControlProcess, error) {
 	limitMemory(options.Memory)
 
 	listener, err := net.Listen("tcp", options.Address.String())
@@ -91,6 +101,22 @@
 		return nil, eris.Wrap(err, "listen for other processes")
 	}
 
+	if options.Folder == "" {
+		return newRelay(options, listener), nil
+	}
+
+	control, err := newControl(options, listener)
+	if err != nil {
+		_ = listener.Close() // The failure of the log is what counts.
+
+		return nil, err
+	}
+
+	return control, nil
+}
+
+// newControl starts a member of the log. Members are named by their address, because nothing else of a seed is known.
+func newControl(options ControlOptions, listener net.Listener) (*Control, error) {
 	var initial []consensus.Member
 	for _, seed := range options.Seeds() {
 		initial = append(initial, consensus.Member{Name: seed.Addr().String(), Address: seed})
@@ -101,18 +127,16 @@
 
 	group, err := consensus.New(consensus.Options{
 		Self:    consensus.Member{Name: options.Address.Addr().String(), Address: options.Address},
-		Initial: initial, Join: !options.First, Replace: true, Grow: votersMost, Folder: options.Folder, Machine: state, Dial: dial,
+		Initial: initial, Join: !options.First, Replace: true, Grow: votersMost, Folder: options.Folder, Machine: state, Dial: connect,
 		Timer: clock, Logger: options.Logger, SnapshotEvery: snapshotEvery, Heartbeat: heartbeat,
 		Election: election,
 	})
 	if err != nil {
-		_ = listener.Close()
-
 		return nil, err //nolint:wrapcheck // It says what is wrong with the log.
 	}
 
 	counts := metrics.New()
-	client := iofleet.NewClient(iofleet.ClientOptions{Dial: dial, Logger: options.Logger})
+	client := iofleet.NewClient(iofleet.ClientOptions{Dial: connect, Logger: options.Logger})
 
 	return &Control{
 		options: options, clock: clock, group: group, client: client, listener: listener,
@@ -124,9 +148,9 @@
 	}, nil
 }
 
-// Controller returns the controller, which takes the calls of backend servers and operators.
-func (c *Control) Controller() *fleet.Controller {
-	return c.controller
+// Carry carries out a call here or at the leader.
+func (c *Control) Carry(ctx context.Context, delivery *iofleet.Delivery) (*iofleet.Receipt, error) {
+	return c.controller.Carry(ctx, delivery) //nolint:wrapcheck // It carries a result code.
 }
 
 // Metrics returns the handler of the metrics address.
@@ -238,19 +262,10 @@
 	}
 }
 
-// dial connects to another process of the system.
-func dial(address netip.AddrPort) (*grpc.ClientConn, error) {
-	connection, err := grpc.NewClient("passthrough:///"+address.String(),
+// connect connects to another process of the system.
+func connect(address netip.AddrPort) (*grpc.ClientConn, error) {
+	return dial.Process(address, dial.Pace{Timeout: connectTimeout, Least: reconnectLeast, Most: reconnectMost},
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff: backoff.Config{
-				BaseDelay: reconnectLeast, Multiplier: backoff.DefaultConfig.Multiplier,
-				Jitter: backoff.DefaultConfig.Jitter, MaxDelay: reconnectMost,
-			},
-			MinConnectTimeout: connectTimeout,
-		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(messageLimit)),
 	)
-
-	return connection, eris.Wrapf(err, "connect to %s", address)
 }
--- a/internal/deployed/doc.go
+++ b/internal/deployed/doc.go
@@ -1,6 +1,6 @@
 // Package deployed assembles the processes of a deployment whose operator sends whole configurations: a Proxy from a
-// gateway.Gateway that follows the leader of control, a Control from a member of the log and a fleet.Controller, and a
-// Relay for control processes on VMs without a disk.
+// gateway.Gateway that follows the leader of control, and a control process: a Control from a member of the log and a
+// fleet.Controller, or a Relay on a VM without a disk.
 //
 // # Usage
 //
--- a/internal/deployed/proxy.go
+++ b/internal/deployed/proxy.go
@@ -135,7 +135,7 @@
 
 // follow calls control without a pause and applies what it says.
 func (p *Proxy) follow(ctx context.Context) {
-	client := fleet.NewClient(fleet.ClientOptions{Seeds: p.options.Control(), Dial: dial, Logger: p.options.Logger})
+	client := fleet.NewClient(fleet.ClientOptions{Seeds: p.options.Control(), Dial: connect, Logger: p.options.Logger})
 	defer client.Close()
 
 	instance := rand.Uint64()
--- a/internal/deployed/relay.go
+++ b/internal/deployed/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"math"
 	"net"
 	"net/http"
@@ -23,21 +22,10 @@
 // relayInterval is the time between two questions for the leader.
 const relayInterval = 500 * time.Millisecond
 
-// RelayOptions describe a Relay.
-type RelayOptions struct {
-	// Address is where other processes of the system reach this one.
-	Address netip.AddrPort
-	// Control returns the addresses of control processes to begin with. It is called again while none is reached.
-	Control func() []netip.AddrPort
-	// Memory is the size in bytes above which the process is ended.
-	Memory int64
-	Logger *slog.Logger
-}
-
 // Relay passes the calls of backend servers and operators on to the leader of control, and tells proxies who leads. It
 // keeps no state: the processes with the log introduce themselves to it.
 type Relay struct {
-	options  RelayOptions
+	options  ControlOptions
 	client   *fleet.Client
 	listener net.Listener
 	metrics  *metrics.Metrics
@@ -51,18 +39,10 @@
 	turn    int
 }
 
-// NewRelay returns a relay that knows the first addresses only.
-func NewRelay(options RelayOptions) (*Relay, error) {
-	limitMemory(options.Memory)
-
-	listener, err := net.Listen("tcp", options.Address.String())
-	if err != nil {
-		return nil, eris.Wrap(err, "listen for other processes")
-	}
-
+func newRelay(options ControlOptions, listener net.Listener) *Relay {
 	return &Relay{options: options, listener: listener, metrics: metrics.New(), client: fleet.NewClient(fleet.ClientOptions{
-		Seeds: options.Control(), Dial: dial, Logger: options.Logger,
-	})}, nil
+		Seeds: options.Seeds(), Dial: connect, Logger: options.Logger,
+	})}
 }
 
 // Metrics returns the handler of the metrics address.
@@ -128,7 +108,7 @@
 }
 
 func (r *Relay) lost(err error) {
-	seeds := r.options.Control()
+	seeds := r.options.Seeds()
 
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"almondgrade/core/position"
+	"almondgrade/core/result"
 )
 
 // Errors of Caller.Next.
@@ -27,6 +28,30 @@
 	Position position.Position
 }
 
+// comeBack is the time after which a caller that was turned away should come back. A change of primary takes about as long.
+const comeBack = 500 * time.Millisecond
+
+// RetryAfter returns when the caller of a statement that was turned away should come back, or zero if the statement may
+// have run or can't succeed later as it is.
+func RetryAfter(err error) time.Duration {
+	var outcome *OutcomeError
+
+	switch code := result.CodeOf(err); {
+	case IsRolledBack(err):
+		return 0
+	case errors.As(err, &outcome):
+		if outcome.Outcome != Busy {
+			return 0
+		}
+	case code == result.OK || code.Ran() != result.RanNo:
+		return 0
+	case code == result.PoolUnknown || code == result.Protocol || code == result.TooLarge:
+		return 0
+	}
+
+	return comeBack
+}
+
 // Caller is a connection of a caller.
 type Caller interface {
 	// Login returns the database that the caller names.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -648,3 +648,28 @@
 	require.NoError(t, busy.ask(Commit, "COMMIT").Err)
 	<-busy.closed
 }
+
+// Guards against a caller that is told to come back with a statement which may have run, or can never succeed.
+func TestRetryAfter(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		err  error
+		want time.Duration
+	}{
+		{nil, 0},
+		{errors.New("unknown"), 0},
+		{result.New(result.NoPrimary, "x"), comeBack},
+		{result.New(result.ConnectionLost, "x"), 0},
+		{result.New(result.PoolUnknown, "x"), 0},
+		{result.New(result.Protocol, "x"), 0},
+		{result.New(result.TooLarge, "x"), 0},
+		{&OutcomeError{Outcome: Busy}, comeBack},
+		{&OutcomeError{Outcome: Behind}, 0},
+		{&OutcomeError{Outcome: Failed}, 0},
+		{&abortedError{result.New(result.NoPrimary, "x")}, 0},
+		{&abortedError{&OutcomeError{Outcome: Busy}}, 0},
+	} {
+		assert.Equal(t, test.want, RetryAfter(test.err), "%v", test.err)
+	}
+}
--- /dev/null
+++ b/io/dial/dial_test.go
@@ -0,0 +1,60 @@
+package dial_test
+
+import (
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"almondgrade/io/dial"
+)
+
+// Guards against a process that is not reached for a long time after it is back, because the pause between two attempts
+// grows without the given bound: with the library's own pauses, thirty attempts take half an hour.
+func TestPausesAreBounded(t *testing.T) {
+	t.Parallel()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+
+	var attempts atomic.Int64
+
+	ended := make(chan struct{})
+
+	go func() {
+		defer close(ended)
+
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+
+			attempts.Add(1)
+			assert.NoError(t, conn.Close())
+		}
+	}()
+
+	connection, err := dial.Process(netip.MustParseAddrPort(listener.Addr().String()), dial.Pace{
+		Timeout: time.Second, Least: time.Millisecond, Most: 20 * time.Millisecond,
+	}, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	require.NoError(t, err)
+
+	const wanted = 30
+
+	assert.Eventually(t, func() bool {
+		connection.Connect()
+
+		return attempts.Load() >= wanted
+	}, 30*time.Second, time.Millisecond)
+
+	require.NoError(t, connection.Close())
+	require.NoError(t, listener.Close())
+	<-ended
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -9,11 +9,11 @@
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"almondgrade/io/dial"
 	"almondgrade/io/peer/peerpb"
 )
 
@@ -159,19 +159,13 @@
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{
 			Time: keepaliveTime, Timeout: keepaliveTimeout, PermitWithoutStream: true,
 		}),
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff: backoff.Config{
-				BaseDelay: leastDelay, MaxDelay: mostDelay, Multiplier: delayFactor, Jitter: delayJitter,
-			},
-			MinConnectTimeout: connectLimit,
-		}),
 	}
 
 	if c.options.Dial != nil {
 		options = append(options, grpc.WithContextDialer(c.options.Dial))
 	}
 
-	conn, err := grpc.NewClient("passthrough:///"+c.address.String(), options...)
+	conn, err := dial.Process(c.address, dial.Pace{Timeout: connectLimit, Least: leastDelay, Most: mostDelay}, options...)
 	if err != nil {
 		return nil, eris.Wrapf(err, "client for proxy %s", c.address)
 	}
--- a/io/peer/options.go
+++ b/io/peer/options.go
@@ -28,10 +28,8 @@
 	// connectLimit bounds the opening of a connection.
 	connectLimit = time.Second
 	// leastDelay and mostDelay bound the time between attempts to connect.
-	leastDelay  = 50 * time.Millisecond
-	mostDelay   = time.Second
-	delayFactor = 1.6
-	delayJitter = 0.2
+	leastDelay = 50 * time.Millisecond
+	mostDelay  = time.Second
 )
 
 func (o Options) credentials() credentials.TransportCredentials {
