coordinator, controller: judge a replica's log after fencing it

Cause of TestAcknowledgedWritesAreCovered: db0, once primary of term 6 with the log 1..6, was rewound by the simulation only to the beginning of term 7 (LSN 6) although term 8 began earlier (LSN 4), was attached to term 8 with the discarded writes 5 and 6, and was promoted to term 9 by the length of its log; the acknowledged write 8:0/5 was lost. The product never attaches such a server: isLogPrefix looks at every later term. But it looked before it made the replica stop receiving, so a replica of an older term could receive a discarded write between the look and the attachment and reach the same state.

Change: attachReplica fences first, as a failover does, and judges the position that can't advance any more. The rule moved to position.History (IsPrefix, CommonLSN), and the simulation rewinds and attaches by that rule in place of one of its own.

--- a/core/position/history.go
+++ b/core/position/history.go
@@ -56,6 +56,26 @@
 	return known && at.LSN >= kept
 }
 
+// IsPrefix reports whether a log that ends at a position and was received in the position's term, or before it, holds
+// nothing that a later change of primary has discarded, so that it is a prefix of the current term's log. The zero term
+// counts as the first.
+func (h History) IsPrefix(end Position) bool {
+	return end.LSN <= h.CommonLSN(end)
+}
+
+// CommonLSN returns the LSN up to which a log that ends at a position agrees with the current term's log.
+func (h History) CommonLSN(end Position) LSN {
+	common := end.LSN
+
+	for _, begin := range h.begins {
+		if begin.Term > max(end.Term, 1) {
+			common = min(common, begin.LSN)
+		}
+	}
+
+	return common
+}
+
 // survivingLSN returns the LSN up to which the log before position want survives in term until. It reports false if the
 // history lacks the beginning of a term in between; the caller must then assume that no server covers the position.
 func (h History) survivingLSN(want Position, until Term) (LSN, bool) {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -384,6 +384,8 @@
 	f := newFixture(t)
 	members := f.startMembers(3)
 	f.mustQuery(members[0], "CREATE TABLE marks (id integer); INSERT INTO marks VALUES (7)")
+	// A write is acknowledged once the primary and one replica hold it.
+	f.waitReplicated(members[0], members[1])
 	require.NoError(t, members[0].Stop())
 	f.suspect("a")
 
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -210,7 +210,7 @@
 		return replicaState{reachable: true, attached: true, caughtUp: seen.ReceivedLSN >= primary.InsertLSN}
 	}
 
-	w.attachReplica(ctx, admin, group, server, seen, address)
+	w.attachReplica(ctx, admin, group, server, address)
 
 	return replicaState{reachable: true}
 }
@@ -224,38 +224,35 @@
 
 // attachReplica makes a server follow the primary if its log is a prefix of the primary's. If the server has received a
 // part of the log that was discarded, the platform must rewind it first: otherwise its position would not show what it
-// holds.
+// holds. The server is fenced before its log is judged, because until then it may still receive from the primary of an
+// older term.
 func (w *worker) attachReplica(
-	ctx context.Context, admin *backend.Admin, group registry.Group, server registry.Server, seen backend.Observation,
-	address netip.AddrPort,
+	ctx context.Context, admin *backend.Admin, group registry.Group, server registry.Server, address netip.AddrPort,
 ) {
-	if !isLogPrefix(group, seen) {
-		w.lead.controller.incrementCounter("attach_needs_rewind")
-		w.lead.controller.options.Logger.Warn("server must be rewound before it can be attached: it has received writes that were discarded", "group", group.Name,
-			"server", server.Name, "term", seen.Attachment.Term, "received", seen.ReceivedLSN)
+	logger := w.lead.controller.options.Logger.With("group", group.Name, "server", server.Name)
+
+	end, err := admin.Fence(ctx, server.Name)
+	if err != nil {
+		logger.Warn("fencing before attaching failed", "error", err)
 
 		return
 	}
 
-	if err := admin.Attach(ctx, server.Name, group.Term, address); err != nil {
-		w.lead.controller.options.Logger.Warn("attaching failed", "group", group.Name, "server", server.Name, "error", err)
+	if !group.History.IsPrefix(end) {
+		w.lead.controller.incrementCounter("attach_needs_rewind")
+		logger.Warn("server must be rewound before it can be attached: it has received writes that were discarded",
+			"term", end.Term, "received", end.LSN)
 
 		return
 	}
 
-	w.lead.controller.options.Logger.Info("server attached", "group", group.Name, "server", server.Name, "term", group.Term)
-}
+	if err := admin.Attach(ctx, server.Name, group.Term, address); err != nil {
+		logger.Warn("attaching failed", "error", err)
 
-// isLogPrefix reports whether what a replica has received is a prefix of the log of the current term. A server that was
-// attached in some term holds a prefix of that term's log, so only later terms can have discarded a part of it.
-func isLogPrefix(group registry.Group, seen backend.Observation) bool {
-	for _, begin := range group.History.Begins() {
-		if begin.Term > max(seen.Attachment.Term, 1) && seen.ReceivedLSN > begin.LSN {
-			return false
-		}
+		return
 	}
 
-	return true
+	logger.Info("server attached", "term", group.Term)
 }
 
 func serverNames(servers []registry.Server) []string {
--- a/internal/coordinator/safety_test.go
+++ b/internal/coordinator/safety_test.go
@@ -72,6 +72,11 @@
 	os.Exit(m.Run())
 }
 
+// end returns the position at which the member's log ends, with the term in which it was last attached.
+func (m *simulatedMember) end() position.Position {
+	return position.Position{Term: m.follow.Term, LSN: position.LSN(len(m.log))}
+}
+
 func memberName(index int) string { return fmt.Sprintf("db%d", index) }
 
 func isPrefix(short, long []int) bool {
@@ -211,7 +216,7 @@
 
 	for _, member := range s.members {
 		if member.recovery && rapid.Bool().Draw(t, "attach") {
-			member.follow = backend.Attachment{Term: s.group.Term, Name: memberName(member.index)}
+			s.attachIfPrefix(member)
 		}
 	}
 }
@@ -235,8 +240,8 @@
 	}
 }
 
-// attach makes a replica follow the current term; an old primary is rewound first. A replica whose log has a part that
-// was discarded keeps that part, and can't receive further writes.
+// attach makes a replica follow the current term as control does, which fences it before it judges its log. The platform
+// rewinds an old primary first.
 func (s *simulation) attach(t *rapid.T) {
 	member := s.drawMember(t)
 	if memberName(member.index) == s.group.Primary {
@@ -244,18 +249,18 @@
 	}
 
 	if !member.recovery {
-		for _, begin := range s.group.History.Begins() {
-			if begin.Term > member.follow.Term {
-				member.log = member.log[:min(len(member.log), int(begin.LSN))]
-
-				break
-			}
-		}
-
+		member.log = member.log[:s.group.History.CommonLSN(member.end())]
 		member.recovery = true
 	}
 
-	member.follow = backend.Attachment{Term: s.group.Term, Name: memberName(member.index)}
+	s.attachIfPrefix(member)
+}
+
+// attachIfPrefix makes a replica follow the current term unless it holds a part of the log that was discarded.
+func (s *simulation) attachIfPrefix(replica *simulatedMember) {
+	if s.group.History.IsPrefix(replica.end()) {
+		replica.follow = backend.Attachment{Term: s.group.Term, Name: memberName(replica.index)}
+	}
 }
 
 // checkCoverage fails the test if the barrier, or a member that may serve a read after it, lacks an acknowledged write.
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -64,7 +65,7 @@
 				require.Equal(t, test.code, codeOf(err), "%v", err)
 			}
 
-			assert.Len(t, primary.callerQueries(), test.primaryQueries)
+			assert.Equal(t, slices.Repeat([]string{test.sql}, test.primaryQueries), append([]string{}, primary.callerQueries()...))
 			assert.Equal(t, test.retries, c.proxies["p1"].count("retry_read_elsewhere"))
 			require.NoError(t, conn.Ping(testContext(t)), "the session goes on")
 		})
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -25,8 +25,13 @@
 
 	mu      sync.Mutex
 	queries []string
+	// terminations are the statements by which a proxy ended connections that it had given up.
+	terminations []string
 }
 
+// terminatePrefix begins the statement by which a proxy ends connections that it has given up.
+const terminatePrefix = "SELECT count(pg_terminate_backend(pid)) FROM pg_stat_activity WHERE application_name IN ("
+
 func newScriptedServer(t testing.TB, answer func(to *pgproto3.Backend, sql string) bool) *scriptedServer {
 	t.Helper()
 
@@ -54,7 +59,7 @@
 	return netip.MustParseAddrPort(s.listener.Addr().String())
 }
 
-// callerQueries returns the queries received so far, without those that set up connections.
+// callerQueries returns the queries received so far, without those that set up connections or end abandoned ones.
 func (s *scriptedServer) callerQueries() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -102,9 +107,24 @@
 		}
 
 		s.mu.Lock()
-		s.queries = append(s.queries, query.String)
+
+		terminates := strings.HasPrefix(query.String, terminatePrefix)
+		if terminates {
+			s.terminations = append(s.terminations, query.String)
+		} else {
+			s.queries = append(s.queries, query.String)
+		}
+
 		s.mu.Unlock()
 
+		if terminates {
+			sendRowDescription(to)
+			sendRow(to, "0")
+			sendComplete(to, "SELECT 1")
+
+			continue
+		}
+
 		if !s.answer(to, query.String) {
 			_ = to.Flush()
 
