managedproxy: try more holders that decline, and unreachable ones less often

Change: a statement goes to up to six holders, of which three may fail to answer; one that declines does so at once. A holder that fails again is avoided for 1, 2, then 4 s.

Tests: TestStatementIsSentOnAfterSeveralDeclines, TestHolderIsTriedLessOftenAfterFailures.

--- a/internal/managedproxy/forward_test.go
+++ b/internal/managedproxy/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -380,6 +381,69 @@
 	}
 }
 
+// Guards against statements that keep being sent to holders behind a partition, and against holders that are avoided for
+// good after it.
+func TestHolderIsTriedLessOftenAfterFailures(t *testing.T) {
+	t.Parallel()
+
+	const statementsPerSecond = 20
+
+	holders := []placement.Proxy{{Name: "near", Centre: "a"}, {Name: "far", Centre: "b"}}
+	health, now := &holderHealth{}, time.Unix(1000, 0)
+	attempts := map[string]int{}
+
+	for range 10 * statementsPerSecond {
+		to := health.pick(holders, "a", nil, now, 0)
+		attempts[to.Name]++
+
+		if to.Name == "near" {
+			health.recordFailure("near", now)
+			health.recordFailure("near", now.Add(time.Millisecond)) // Another statement that was sent at the same time.
+		}
+
+		now = now.Add(time.Second / statementsPerSecond)
+	}
+
+	assert.Equal(t, 4, attempts["near"], "after 0, 1, 3 and 7 s")
+
+	now = now.Add(maxHolderRetryInterval)
+	assert.Equal(t, "near", health.pick(holders, "a", nil, now, 0).Name)
+	health.recordAnswer("near")
+	health.recordFailure("near", now)
+	assert.Equal(t, "far", health.pick(holders, "a", nil, now, 0).Name)
+	assert.Equal(t, "near", health.pick(holders, "a", nil, now.Add(holderRetryInterval), 0).Name)
+}
+
+// Guards against a statement that is refused although a holder can serve it, because the first ones that it was sent to
+// declined.
+func TestStatementIsSentOnAfterSeveralDeclines(t *testing.T) {
+	t.Parallel()
+
+	h := newForwardFixture(t)
+	holders := h.front.holders
+
+	// None of these holds connections, so each declines.
+	for i := range maxHolderAttempts - 1 {
+		other := newFixture(t)
+		other.replaceServers(h.front.servers)
+		other.holders = holders[1:]
+		other.applyView()
+
+		address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.8"), uint16(i+1))
+		h.holders[address] = other
+		h.front.holders = append([]placement.Proxy{{Name: address.String(), Address: address}}, h.front.holders...)
+	}
+
+	h.front.holders = slices.DeleteFunc(slices.Clone(h.front.holders), func(p placement.Proxy) bool { return p.Name == "h2" })
+	h.front.applyView()
+
+	for range 20 {
+		h.front.gateway.holderHealth = holderHealth{}
+
+		require.NoError(t, h.front.connect("latest").ask(Write, "WRITE 1 a").Err)
+	}
+}
+
 // Guards against a session that loses the position of its last commit, and so may read older data, after a failure at
 // a holder that has no session for it.
 func TestFailureKeepsTheSessionsPosition(t *testing.T) {
--- a/internal/managedproxy/holder.go
+++ b/internal/managedproxy/holder.go
@@ -16,10 +16,14 @@
 
 const (
 	// holderRetryInterval is the time for which a holder that did not answer or declined is tried only if no other one
-	// is left. Control notices a lost proxy in about the same time.
-	holderRetryInterval = time.Second
-	// maxHolderAttempts bounds the holders that one statement is sent to.
-	maxHolderAttempts = 3
+	// is left. Control notices a lost proxy in about the same time. It doubles up to maxHolderRetryInterval with each
+	// further failure.
+	holderRetryInterval    = time.Second
+	maxHolderRetryInterval = 4 * time.Second
+	// maxUnanswered bounds the holders that may fail to answer one statement, maxHolderAttempts all holders that it is
+	// sent to. A holder that declines does so at once.
+	maxUnanswered     = 3
+	maxHolderAttempts = 6
 	// holderReadDivisor divides a read's timeout: after that part of it another holder is tried.
 	holderReadDivisor = 2
 )
@@ -42,28 +46,45 @@
 	return slices.DeleteFunc(slices.Clone(h.proxies), func(proxy placement.Proxy) bool { return proxy.Name == self })
 }
 
-// holderHealth records which other proxies have lately failed to answer or declined a statement. It is safe for concurrent use.
+// holderFailure is a series of failures of one holder.
+type holderFailure struct {
+	// pause is the time for which the holder is avoided after the last failure, until the end of that time.
+	pause time.Duration
+	until time.Time
+}
+
+// holderHealth records which other proxies have lately failed to answer or declined a statement. It is safe for
+// concurrent use.
+//
+// It is built for a partition between proxies that lasts for several seconds: each attempt to reach a holder on the other
+// side costs a statement the time to connect, so that attempts become rarer.
 type holderHealth struct {
-	mutex        sync.Mutex
-	lastFailures map[string]time.Time
+	mutex    sync.Mutex
+	failures map[string]holderFailure
 }
 
 func (h *holderHealth) recordFailure(name string, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 
-	if h.lastFailures == nil {
-		h.lastFailures = make(map[string]time.Time)
+	if h.failures == nil {
+		h.failures = make(map[string]holderFailure)
+	}
+
+	last := h.failures[name]
+	if now.Before(last.until) {
+		return // Statements that were sent at the same time fail together.
 	}
 
-	h.lastFailures[name] = now
+	pause := min(max(2*last.pause, holderRetryInterval), maxHolderRetryInterval)
+	h.failures[name] = holderFailure{pause: pause, until: now.Add(pause)}
 }
 
 func (h *holderHealth) recordAnswer(name string) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 
-	delete(h.lastFailures, name)
+	delete(h.failures, name)
 }
 
 // pick returns the holder for a statement, and never one that was tried before. It prefers holders that have not
@@ -88,7 +109,7 @@
 			cost++
 		}
 
-		if now.Sub(h.lastFailures[candidate.Name]) < holderRetryInterval {
+		if now.Before(h.failures[candidate.Name].until) {
 			cost += 2
 		}
 
@@ -163,8 +184,9 @@
 	deadline := f.began.Add(f.pool.Timeout)
 
 	var (
-		tried   []string
-		lastErr error
+		tried      []string
+		unanswered int
+		lastErr    error
 	)
 
 	for attempt := range maxHolderAttempts {
@@ -172,7 +194,7 @@
 		f.request.LastAttempt = attempt+1 == min(maxHolderAttempts, len(holders))
 
 		to := gateway.holderHealth.pick(holders, gateway.options.Centre, tried, now, rand.Uint64())
-		if to == nil || !now.Before(deadline) {
+		if to == nil || unanswered == maxUnanswered || !now.Before(deadline) {
 			break
 		}
 
@@ -185,6 +207,8 @@
 			err = errDeclined
 
 			gateway.holderHealth.recordFailure(to.Name, time.Now())
+		} else {
+			unanswered++
 		}
 
 		tried = append(tried, to.Name)
