platform: redirect configuration calls from relays to the leader

Relays gave up after 900 ms ("no leader of the control processes accepted the request", 13 times from 33 to 41 s), so that the leader got nothing between 24.3 and 40.0 s, and an answer to a read was under way for longer than the acknowledgement took.

Ruled out: the log. It applied 91 before it acknowledged it, the leader of the log did not change before 40.8 s, and a read that it confirms after the acknowledgement contains 91. Not shown: that the rule can't break in another way.

--- a/internal/manageddaemon/control.go
+++ b/internal/manageddaemon/control.go
@@ -80,6 +80,9 @@
 	Metrics() http.Handler
 	// DeliverToLeader executes a call of a backend server or an operator at the leader.
 	DeliverToLeader(ctx context.Context, delivery *managedcontrol.DeliverRequest) (*managedcontrol.DeliverReply, error)
+	// LeaderVM returns the IP address of the VM that callers should send large calls to themselves. It is false if this
+	// process delivers them as well, or knows no leader.
+	LeaderVM() (netip.Addr, bool)
 }
 
 // Control is a control process that keeps the log.
@@ -154,6 +157,11 @@
 	return c.controller.DeliverToLeader(ctx, delivery) //nolint:wrapcheck // It carries a result code.
 }
 
+// LeaderVM implements ControlProcess. A process that keeps the log has a link that is fast enough to pass calls on.
+func (c *Control) LeaderVM() (netip.Addr, bool) {
+	return netip.Addr{}, false
+}
+
 // Metrics returns the handler of the metrics address.
 func (c *Control) Metrics() http.Handler {
 	return metrics.Handler(c.metrics.Registry)
--- a/internal/manageddaemon/relay.go
+++ b/internal/manageddaemon/relay.go
@@ -129,6 +129,15 @@
 	return r.client.DeliverToLeader(ctx, delivery)
 }
 
+// LeaderVM implements ControlProcess. The VM of a relay may have a slow link, over which a configuration of thousands of
+// pools would pass twice.
+func (r *Relay) LeaderVM() (netip.Addr, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return r.leader.Addr(), r.leader.IsValid()
+}
+
 // Sync implements managedcontrol.Service. It names the leader or, if none is known, each member of the log in turn.
 func (r *Relay) Sync(context.Context, *managedcontrol.SyncRequest) (*managedcontrol.SyncReply, error) {
 	r.mutex.Lock()
