topology, managedcontrol: send changes of the configuration as deltas

A proxy whose result differs logs it, counts configuration_delta_refused and asks for the whole. Builds without deltas get whole configurations as before.

Ruled out: an order that a delta can't express; then the whole is sent.

--- a/internal/managedcontroller/controller.go
+++ b/internal/managedcontroller/controller.go
@@ -93,6 +93,9 @@
 
 	mutex   sync.Mutex
 	current *leadership
+	// recent are the last configurations that were applied here, also before this process led, so that a change of
+	// leader doesn't bring whole configurations.
+	recent topology.RecentConfigurations
 }
 
 // New starts a controller.
@@ -140,6 +143,10 @@
 	term := c.options.Log.Status().Term
 	current := c.leadership()
 
+	c.mutex.Lock()
+	c.recent.Record(c.options.State.View().Configuration)
+	c.mutex.Unlock()
+
 	switch {
 	case !self:
 		c.setLeadership(nil)
@@ -168,6 +175,33 @@
 	}
 }
 
+// addConfiguration adds the current configuration to a reply: the difference to the one that the proxy has, if that is
+// known and the proxy accepts it, or else all of it.
+func (c *Controller) addConfiguration(reply *managedcontrol.SyncReply, request *managedcontrol.SyncRequest) {
+	latest := c.options.State.View().Configuration
+	if latest.Number <= request.Configuration {
+		return
+	}
+
+	if request.AcceptsDeltas {
+		c.mutex.Lock()
+		c.recent.Record(latest)
+		delta := c.recent.Delta(request.Configuration)
+		c.mutex.Unlock()
+
+		if delta != nil {
+			reply.ConfigurationDelta = delta
+			c.options.Metrics.Counter("configuration_deltas").Inc(1)
+
+			return
+		}
+	}
+
+	latest.Document = nil
+	reply.Configuration = &latest
+	c.options.Metrics.Counter("configuration_wholes").Inc(1)
+}
+
 func (c *Controller) leadership() *leadership {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/managedcontroller/leadership.go
+++ b/internal/managedcontroller/leadership.go
@@ -363,7 +363,7 @@
 
 	for {
 		reply, changed := l.buildReply(request)
-		if reply.Lease > 0 && (reply.View != nil || reply.Configuration != nil || pollCtx.Err() != nil) {
+		if reply.Lease > 0 && (reply.View != nil || reply.Configuration != nil || reply.ConfigurationDelta != nil || pollCtx.Err() != nil) {
 			reply.ConnectionLimits = granted
 
 			return reply, nil
@@ -450,10 +450,7 @@
 		reply.View = &view
 	}
 
-	if latest := l.controller.options.State.View().Configuration; latest.Number > request.Configuration {
-		latest.Document = nil
-		reply.Configuration = &latest
-	}
+	l.controller.addConfiguration(reply, request)
 
 	return reply, l.changed
 }
--- a/internal/manageddaemon/proxy.go
+++ b/internal/manageddaemon/proxy.go
@@ -140,7 +140,7 @@
 	defer client.Close()
 
 	instance := rand.Uint64()
-	delay, reached := syncRetryDelay, true
+	delay, reached, acceptsDeltas := syncRetryDelay, true, true
 
 	for ctx.Err() == nil {
 		version, number := p.gateway.AppliedVersions()
@@ -149,6 +149,7 @@
 		reply, err := client.Sync(ctx, &managedcontrol.SyncRequest{
 			Proxy: p.options.Name, Instance: instance, AppliedVersion: version, Configuration: number, PrimaryReports: p.gateway.PrimaryReachability(),
 			Demands: p.gateway.Demands(), Centre: p.options.Centre, Address: p.options.Address, Leaving: p.gateway.Draining(),
+			AcceptsDeltas: acceptsDeltas,
 		})
 		if err != nil {
 			if reached && ctx.Err() == nil {
@@ -169,6 +170,17 @@
 		}
 
 		delay, reached = syncRetryDelay, true
+		acceptsDeltas = true
+
+		if reply.ConfigurationDelta != nil {
+			reply.Configuration, err = p.gateway.ApplyDelta(reply.ConfigurationDelta)
+			if err != nil {
+				p.options.Logger.Warn("configuration delta can't be applied; asking for the whole configuration", "error", err)
+				p.metrics.Counter("configuration_delta_refused").Inc(1)
+
+				acceptsDeltas = false
+			}
+		}
 
 		if reply.View != nil || reply.Configuration != nil {
 			p.gateway.Apply(reply.Configuration, reply.View)
--- a/internal/managedproxy/view.go
+++ b/internal/managedproxy/view.go
@@ -72,6 +72,16 @@
 	return current.version, configuration
 }
 
+// ApplyDelta returns the configuration that results from applying a delta to the one in force.
+func (g *Gateway) ApplyDelta(delta *topology.ConfigurationDelta) (*topology.Configuration, error) {
+	base := g.view.Load().configuration
+	if base == nil {
+		base = &topology.Configuration{}
+	}
+
+	return base.Apply(delta) //nolint:wrapcheck // It names both configurations.
+}
+
 // Apply puts a configuration and a view into force; nil keeps the current one. A configuration is ignored unless its
 // number is greater than that of the current one.
 func (g *Gateway) Apply(configuration *topology.Configuration, control *managedcontrol.View) {
--- a/io/managedcontrol/messages.go
+++ b/io/managedcontrol/messages.go
@@ -44,6 +44,8 @@
 	Leaving bool `cbor:"10,keyasint,omitempty"`
 	// Stopping is true in the last request of a proxy, which then holds no lease any more.
 	Stopping bool `cbor:"6,keyasint,omitempty"`
+	// AcceptsDeltas is true if the proxy can apply a ConfigurationDelta to the configuration that it has.
+	AcceptsDeltas bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Server is a backend server of a view.
@@ -82,8 +84,10 @@
 	Lease time.Duration `cbor:"1,keyasint"`
 	// View is nil if the proxy has already applied the current view.
 	View *View `cbor:"2,keyasint,omitempty"`
-	// Configuration is nil if the proxy already has the current one. Its Document is empty.
+	// Configuration is nil if the proxy already has the current one, or gets ConfigurationDelta. Its Document is empty.
 	Configuration *topology.Configuration `cbor:"3,keyasint,omitempty"`
+	// ConfigurationDelta is the difference between the proxy's configuration and the current one.
+	ConfigurationDelta *topology.ConfigurationDelta `cbor:"7,keyasint,omitempty"`
 	// ConnectionLimits are the numbers of connections that the proxy may hold, by server.
 	ConnectionLimits map[string]int `cbor:"5,keyasint,omitempty"`
 	// Positions are the latest log positions of the primaries that the leader has observed, by group.
