--- a/core/topology/state.go
+++ b/core/topology/state.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"maps"
+	"sync"
 	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
@@ -72,6 +73,10 @@
 // concurrent use.
 type State struct {
 	view atomic.Pointer[View]
+
+	mutex sync.Mutex
+	// recent are the last configurations that were applied, by whichever leader.
+	recent RecentConfigurations
 }
 
 // NewState returns an empty state.
@@ -103,7 +108,7 @@
 		answer = next.apply(index, decoded)
 	}
 
-	s.view.Store(&next)
+	s.publish(&next)
 
 	encoded, err := cbor.Marshal(answer)
 	if err != nil {
@@ -135,11 +140,28 @@
 		next.Servers = map[string]Server{}
 	}
 
-	s.view.Store(next)
+	s.publish(next)
 
 	return nil
 }
 
+func (s *State) publish(next *View) {
+	s.mutex.Lock()
+	s.recent.Record(next.Configuration)
+	s.mutex.Unlock()
+
+	s.view.Store(next)
+}
+
+// ConfigurationDelta returns the difference between the configuration with the given number and the current one, or nil
+// if that configuration was applied too long ago. It is safe for concurrent use.
+func (s *State) ConfigurationDelta(from uint64) *ConfigurationDelta {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return s.recent.Delta(from)
+}
+
 func (v *View) apply(index uint64, command Command) Answer {
 	switch {
 	case command.Configure != nil:
--- a/internal/managedcontroller/controller.go
+++ b/internal/managedcontroller/controller.go
@@ -93,9 +93,6 @@
 
 	mutex   sync.Mutex
 	current *leadership
-	// recent are the last configurations that were applied here, also before this process led, so that a change of
-	// leader doesn't bring whole configurations.
-	recent topology.RecentConfigurations
 }
 
 // New starts a controller.
@@ -143,10 +140,6 @@
 	term := c.options.Log.Status().Term
 	current := c.leadership()
 
-	c.mutex.Lock()
-	c.recent.Record(c.options.State.View().Configuration)
-	c.mutex.Unlock()
-
 	switch {
 	case !self:
 		c.setLeadership(nil)
@@ -184,12 +177,7 @@
 	}
 
 	if request.AcceptsDeltas {
-		c.mutex.Lock()
-		c.recent.Record(latest)
-		delta := c.recent.Delta(request.Configuration)
-		c.mutex.Unlock()
-
-		if delta != nil {
+		if delta := c.options.State.ConfigurationDelta(request.Configuration); delta != nil {
 			reply.ConfigurationDelta = delta
 			c.options.Metrics.Counter("configuration_deltas").Inc(1)
 
--- a/internal/managedcontroller/controller_test.go
+++ b/internal/managedcontroller/controller_test.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -324,6 +326,60 @@
 	f.awaitPrimary("c")
 }
 
+// Guards against a whole configuration of thousands of pools for each small change, and against a proxy that never gets
+// the current one because it has one that the leader does not know, or can't apply deltas.
+func TestSmallChangesAreSentAsDeltas(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.awaitPrimary("a")
+
+	configure := func(number uint64, timeout time.Duration) *topology.Configuration {
+		next := &topology.Configuration{Number: number, Document: []byte("{}"), Groups: []topology.GroupSettings{{Name: "g", MaxConnections: 40}}}
+		for i := range 2000 {
+			name := strconv.Itoa(i)
+			next.Pools = append(next.Pools, topology.Pool{Name: name, Database: name, Group: "g", Timeout: time.Second})
+		}
+
+		next.Pools[7].Timeout = timeout
+		f.deliver(&managedcontrol.DeliverRequest{Configure: next})
+
+		return next
+	}
+
+	base := configure(100, time.Second)
+	latest := configure(101, time.Minute)
+
+	for _, test := range []struct {
+		name    string
+		request managedcontrol.SyncRequest
+		delta   bool
+	}{
+		{"last configuration", managedcontrol.SyncRequest{Configuration: 100, AcceptsDeltas: true}, true},
+		{"unknown configuration", managedcontrol.SyncRequest{Configuration: 99, AcceptsDeltas: true}, false},
+		{"no configuration", managedcontrol.SyncRequest{AcceptsDeltas: true}, false},
+		{"proxy without deltas", managedcontrol.SyncRequest{Configuration: 100}, false},
+	} {
+		test.request.Proxy, test.request.Instance = "p", 1
+		reply, err := f.controller.Sync(t.Context(), &test.request)
+		require.NoError(t, err, test.name)
+
+		if !test.delta {
+			require.True(t, reply.ConfigurationDelta == nil, test.name)
+			assert.True(t, slices.Equal(latest.Pools, reply.Configuration.Pools), test.name)
+
+			continue
+		}
+
+		require.True(t, reply.Configuration == nil, test.name)
+		assert.Len(t, reply.ConfigurationDelta.Changed, 1)
+
+		applied, err := base.Apply(reply.ConfigurationDelta)
+		require.NoError(t, err)
+		assert.True(t, slices.Equal(latest.Pools, applied.Pools))
+	}
+}
+
 // Guards against a leaving primary that is replaced only after it has stopped, or by a server that is leaving as well.
 func TestLeavingPrimaryIsReplaced(t *testing.T) {
 	t.Parallel()
