--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -500,7 +500,7 @@
 
 	var activityQueries atomic.Int64
 
-	c := newCluster(t, options{scripts: []*scriptedServer{newScriptedServer(t, func(to *pgproto3.Backend, sql string) bool {
+	server := newScriptedServer(t, func(to *pgproto3.Backend, sql string) bool {
 		if strings.HasPrefix(sql, "INSERT") {
 			<-testEnd
 		}
@@ -509,9 +509,12 @@
 		sendRow(to, map[bool]string{true: "1", false: "0"}[activityQueries.Add(1) == 1])
 
 		return sendComplete(to, "SELECT 1")
-	})}, timing: func(timing *settings.Timing) { timing.Deadline = settings.Duration(5 * time.Minute) }})
+	})
+	c := newCluster(t, options{scripts: []*scriptedServer{server}, timing: func(timing *settings.Timing) { timing.Deadline = settings.Duration(5 * time.Minute) }})
 
 	_, err := c.connect("p1", "").Exec(testContext(t), "INSERT INTO t VALUES (1)")
 	assert.Equal(t, "1401", codeOf(err), "%v", err)
-	require.Eventually(t, func() bool { return activityQueries.Load() == 3 }, 30*time.Second, time.Millisecond, "two checks, then the termination of the backend")
+	require.Eventually(t, func() bool { return len(server.terminationQueries()) == 1 }, 30*time.Second, time.Millisecond,
+		"the backend is terminated")
+	assert.EqualValues(t, 2, activityQueries.Load(), "two checks before the termination")
 }
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -67,6 +67,14 @@
 	return append([]string(nil), s.queries...)
 }
 
+// terminationQueries returns the statements received so far that end abandoned connections.
+func (s *scriptedServer) terminationQueries() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return append([]string(nil), s.terminations...)
+}
+
 func (s *scriptedServer) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 
