managedproxy: name no deployment in a test's comment

Cause: a new comment outside platform/ named a deployment, whose names belong to platform/ and the docs.

--- a/internal/managedproxy/forward_test.go
+++ b/internal/managedproxy/forward_test.go
@@ -323,7 +323,7 @@
 }
 
 // Guards against refusals by holders that are cut off from control while other holders have a lease: of statements of
-// other proxies' callers, and of their own callers' statements. Seen on teranga-postal-large, scale-1 (primary_cut split).
+// other proxies' callers, and of their own callers' statements.
 func TestHolderCutOffFromControl(t *testing.T) {
 	t.Parallel()
 
