review: show reads from a primary that has started again with nothing

Cause: control keeps a recorded primary that answers probes and reports itself as a replica, and proxies send reads of the latest data to it without a position. Change: case 3, a script on the stand-ins.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -101,3 +101,32 @@
 }
 
 func (s *session) close() { _ = s.conn.Close() }
+
+// lastRead returns the last run of a read.
+func (r *recorder) lastRead(id string) readRun {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	return r.reads[id]
+}
+
+// numberOf returns the number of the commit that holds a request, in the log of the primary.
+func (s *service) numberOf(id string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	leader := s.primaryMember()
+	if leader == nil {
+		return 0
+	}
+
+	for i := len(leader.received) - 1; i >= 0; i-- {
+		for _, held := range leader.received[i].ids {
+			if held == id {
+				return leader.received[i].number
+			}
+		}
+	}
+
+	return 0
+}
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -30,6 +30,26 @@
 	mutex sync.Mutex
 	file  *bufio.Writer
 	began time.Time
+	// reads has the last run of each read, by the id of the request.
+	reads map[string]readRun
+}
+
+// readRun is a read that a member ran: the number of the last commit that it saw.
+type readRun struct {
+	member string
+	sees   int
+}
+
+// read records the run of a read.
+func (r *recorder) read(id, member string, sees int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+
+	if r.reads == nil {
+		r.reads = make(map[string]readRun)
+	}
+
+	r.reads[id] = readRun{member, sees}
 }
 
 func (r *recorder) line(format string, args ...any) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	play, known := map[string]func(*recorder, bool) []string{
 		"setup":   playSetup,
 		"planned": playPlanned,
+		"restart": playRestart,
 	}[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
--- a/review/standin/member.go
+++ b/review/standin/member.go
@@ -65,6 +65,10 @@
 	// cut are the processes from which the server is partitioned, by process id. The partition is silent.
 	cut map[int]bool
 
+	// empty is true in a member that has started again and knows nothing.
+	empty bool
+	open  map[net.Conn]bool
+
 	running chan struct{}
 }
 
@@ -78,15 +82,10 @@
 func (s *service) add(id, zone, address string) *member {
 	m := &member{
 		service: s, id: id, zone: zone, born: time.Now().UnixMilli(), receiveDelay: 2 * time.Millisecond,
-		applyDelay: 40 * time.Millisecond, term: 1, state: "ready", cut: map[int]bool{}, running: make(chan struct{}, s.slots),
+		applyDelay: 40 * time.Millisecond, term: 1, state: "ready", cut: map[int]bool{}, open: map[net.Conn]bool{}, running: make(chan struct{}, s.slots),
 	}
 
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		cannotRun("listen for a member: %v", err)
-	}
-
-	m.listener, m.address = listener, listener.Addr().String()
+	m.listen(address)
 
 	s.mutex.Lock()
 	if leader := s.primaryMember(); leader == nil {
@@ -100,6 +99,20 @@
 	s.members = append(s.members, m)
 	s.mutex.Unlock()
 
+	return m
+}
+
+// listen accepts connections at an address.
+func (m *member) listen(address string) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		cannotRun("listen for a member: %v", err)
+	}
+
+	m.service.mutex.Lock()
+	m.listener, m.address = listener, listener.Addr().String()
+	m.service.mutex.Unlock()
+
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -110,8 +123,6 @@
 			go m.serve(conn)
 		}
 	}()
-
-	return m
 }
 
 func (s *service) primaryMember() *member {
@@ -124,8 +135,38 @@
 	return nil
 }
 
+// restart ends the member and starts it again after a time under the same id and at the same address. It holds and knows
+// nothing of before.
+func (m *member) restart(after time.Duration) {
+	s := m.service
+
+	s.mutex.Lock()
+	_ = m.listener.Close()
+
+	for conn := range m.open {
+		_ = conn.Close()
+	}
+
+	m.primary, m.state = false, "down"
+	s.mutex.Unlock()
+	s.rec.line("member=%s ends", m.id)
+	time.Sleep(after)
+
+	s.mutex.Lock()
+	m.empty, m.term, m.received, m.applied, m.sequence = true, 0, nil, 0, 0
+	m.state, m.born = "ready", time.Now().UnixMilli()
+	s.mutex.Unlock()
+	m.listen(m.address)
+	s.rec.line("member=%s starts again, as a replica that holds nothing", m.id)
+	s.beatAll()
+}
+
 // position returns the text of the position of a log that holds n entries of the member.
 func (m *member) position(n int) string {
+	if n == 0 && m.empty {
+		return "-"
+	}
+
 	if n == 0 {
 		return "1.0"
 	}
@@ -153,7 +194,7 @@
 		visible = len(m.received)
 	}
 
-	return number == 0 || number <= visible && m.received[number-1].term == term
+	return number == 0 && !m.empty || number <= visible && m.received[number-1].term == term
 }
 
 // commit appends to the log of the primary, and returns the channel that is closed once a replica has received it.
@@ -238,6 +279,7 @@
 	s.rec.line("promoted member=%s term=%d holds=%s", id, s.term, next.position(len(next.received)))
 
 	for _, m := range s.members {
+		m.empty = false
 		m.primary, m.deaf = m == next, m.deaf && m != next
 		if m == next || !m.deaf {
 			m.term = s.term
@@ -362,12 +404,14 @@
 	}
 
 	m.conns++
+	m.open[conn] = true
 	shown := m.shown()
 	s.mutex.Unlock()
 
 	defer func() {
 		s.mutex.Lock()
 		m.conns--
+		delete(m.open, conn)
 		s.mutex.Unlock()
 	}()
 
@@ -548,8 +592,9 @@
 		return m.finishCommit(id, []string{id})
 	}
 
-	shown := m.shown()
+	shown, sees := m.shown(), m.applied
 	s.mutex.Unlock()
+	s.rec.read(id, m.id, sees)
 
 	if c.state == "T" {
 		s.rec.line("ran member=%s id=%s text=%q in=transaction-%d", m.id, id, text, c.opened)
@@ -643,6 +688,13 @@
 	s := m.service
 
 	s.mutex.Lock()
+
+	if m.state == "down" {
+		s.mutex.Unlock()
+
+		return
+	}
+
 	m.sequence++
 
 	role := "replica"
