managedproxy: keep the state of a connection from its last answer

Cause: the commands that set up a connection and BEGIN are one pipeline, of which the server runs each command. conn.run returned the first answer that was not Done, and the state in it stood for the connection's, although a later answer said that a transaction was open. The connection returned to the pool.

Change: a connection keeps the state of the last answer; rollback and pool use it, and the pool closes a connection that is not idle. A single statement that ran inside a transaction, and a statement of a transaction that ran outside one, are not acknowledged. The counter setups_failed shows how often the setup of a connection fails.

Why this works: no connection with an open transaction enters the pool, whatever the outcome of each command was.

Ruled out: failed rollbacks (the case fails none), two sessions on one connection at a time, a change of primary.

--- a/internal/managedproxy/conn.go
+++ b/internal/managedproxy/conn.go
@@ -20,6 +20,8 @@
 	inUseSince time.Time
 	lastUsed   time.Time
 	broken     bool
+	// state is the state after the last answer.
+	state State
 }
 
 func newConn(backend Backend, backendServer *server) *conn {
@@ -87,7 +89,8 @@
 }
 
 // run sends commands, of which all but the last set up the connection, and returns the answer to the last one, or the
-// first answer that is not Done. The last command is sent by itself, because it must not run unless all of the session
+// first answer that is not Done. The setup commands are sent together and each of them runs, so that a transaction may be
+// open although a command before the one that opened it has failed. The last command is sent by itself, because it must not run unless all of the session
 // state is in place.
 func (c *conn) run(deadline time.Time, commands ...Command) (Answer, error) {
 	if len(commands) > 1 {
@@ -111,15 +114,20 @@
 	return answers[0], nil
 }
 
-// rollbackUnlessIdle rolls back what an answer has left open on the connection, so that other sessions can use it.
-// This costs the server less than opening another connection.
-func (c *conn) rollbackUnlessIdle(state State) {
-	if state == Idle || c.broken {
+// rollbackUnlessIdle rolls back a transaction that is open on the connection, so that other sessions can use it. This
+// costs the server less than opening another connection.
+func (c *conn) rollbackUnlessIdle() {
+	if c.state == Idle || c.broken {
 		return
 	}
 
 	answer, err := c.run(time.Now().Add(rollbackTimeout), Command{Statement: Statement{Kind: Rollback}})
-	c.broken = c.broken || err != nil || answer.Outcome != Done || answer.State != Idle
+	c.broken = c.broken || err != nil || answer.Outcome != Done || c.state != Idle
+}
+
+// mayBeReused reports whether other sessions may use the connection.
+func (c *conn) mayBeReused() bool {
+	return !c.broken && c.state == Idle
 }
 
 // errSetup is returned together with the answer to a setup command that failed.
@@ -143,5 +151,8 @@
 		}
 	}
 
+	// Commands behind one that failed have run as well, so only the last answer has the state of the connection.
+	c.state = answers[len(answers)-1].State
+
 	return answers, nil
 }
--- a/internal/managedproxy/gateway_test.go
+++ b/internal/managedproxy/gateway_test.go
@@ -34,8 +34,15 @@
 	// down makes the server refuse connections.
 	down bool
 	// answerWith, if set, may answer a command; with ok false the server answers as usual.
-	answerWith    func(command Command) (answer Answer, err error, ok bool)
+	answerWith func(command Command) (answer Answer, err error, ok bool)
+	// failsAfter, if set, reports whether the server answers Failed although the command took effect.
+	failsAfter func(command Command) bool
+	// wrongState, if set, is the state that the server reports whatever it has.
+	wrongState    *State
 	ranStatements []string
+	// ranInside are the texts of the statements that ran, or were to begin a transaction, while one was open on their
+	// connection.
+	ranInside []string
 }
 
 // fakeConn is a connection to a fakeServer.
@@ -79,7 +86,15 @@
 			return nil, err
 		}
 
+		if c.server.failsAfter != nil && c.server.failsAfter(command) {
+			answer = Answer{Outcome: Failed}
+		}
+
 		answer.State = c.state
+		if c.server.wrongState != nil {
+			answer.State = *c.server.wrongState
+		}
+
 		answer.Position = c.server.position
 		answers = append(answers, answer)
 	}
@@ -107,6 +122,10 @@
 			return Answer{Outcome: NotPrimary}, nil
 		}
 
+		if c.state == Open {
+			c.server.ranInside = append(c.server.ranInside, "BEGIN")
+		}
+
 		c.state = Open
 	case Rollback:
 		c.state = Idle
@@ -134,6 +153,10 @@
 		c.server.position.LSN++
 	}
 
+	if c.state == Open {
+		c.server.ranInside = append(c.server.ranInside, command.Text)
+	}
+
 	c.server.ranStatements = append(c.server.ranStatements, fmt.Sprint(command.ID, " ", command.Text, " ", c.variables))
 
 	return Answer{Signature: "signed", Rows: []string{command.Text}}
--- a/internal/managedproxy/pool.go
+++ b/internal/managedproxy/pool.go
@@ -465,9 +465,9 @@
 	return nil, err
 }
 
-// put returns a connection to the pool, or closes it if it is broken or beyond the limit.
+// put returns a connection to the pool, or closes it if it is broken, has an open transaction or is beyond the limit.
 func (p *connPool) put(returned *conn) {
-	if returned.broken {
+	if !returned.mayBeReused() {
 		p.discard(returned)
 
 		return
--- a/internal/managedproxy/statementrun.go
+++ b/internal/managedproxy/statementrun.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"almondgrade/core/position"
 	"almondgrade/core/result"
 	"almondgrade/core/retry"
@@ -421,7 +423,8 @@
 
 	switch {
 	case errors.Is(err, errSetup):
-		conn.rollbackUnlessIdle(answer.State)
+		r.session.gateway.count("setups_failed")
+		conn.rollbackUnlessIdle()
 		to.server.connPool.put(conn)
 		to.server.recordAnswer(ended)
 
@@ -446,13 +449,25 @@
 		return answer, nil
 	}
 
+	if begin == nil && answer.Outcome == Done && conn.state != Idle {
+		// The statement ran inside a transaction, which no caller will commit.
+		err = errInTransaction
+	}
+
 	// A transaction whose first statement failed ends here; it may begin again elsewhere.
-	conn.rollbackUnlessIdle(answer.State)
+	conn.rollbackUnlessIdle()
 	to.server.connPool.put(conn)
 
+	if err != nil {
+		return Answer{}, &noAnswerError{err}
+	}
+
 	return answer, nil
 }
 
+// errInTransaction is the failure of a single statement that a server ran inside a transaction.
+var errInTransaction = eris.New("the server ran the statement inside a transaction")
+
 // latestStart returns the time by which the statement must start on a server: early enough to end within the pool's
 // target latency, counted from its arrival, at the server's mean latency, and before its deadline. A statement that
 // starts later makes others late as well.
--- a/internal/managedproxy/transaction.go
+++ b/internal/managedproxy/transaction.go
@@ -255,6 +255,11 @@
 	s.tx.hasWritten = s.tx.hasWritten || command.Writes
 
 	if command.Kind != Commit && command.Kind != Rollback {
+		if answer.State != Open {
+			// The statement may have run outside the transaction, so nothing is promised about it.
+			return s.abort(command, result.New(result.ConnectionLost, "server %s has no transaction open for the statement", s.tx.server.id))
+		}
+
 		return reply
 	}
 
@@ -262,7 +267,7 @@
 		s.lastCommit = answer.Position
 	}
 
-	s.releaseConn(answer.State != Idle)
+	s.releaseConn(false)
 	s.tx = transaction{}
 	reply.State = Idle
 
@@ -311,7 +316,7 @@
 		return
 	}
 
-	s.tx.conn.rollbackUnlessIdle(Open)
+	s.tx.conn.rollbackUnlessIdle()
 	s.releaseConn(false)
 }
 
