managedproxy: reset a connection on which a setup command ran and failed

What callers could see: session variables of another session, or none of their own. Found while the same cause was looked for on related paths; no run with real processes has shown it.

Cause: the proxy took a SET, RESET or PREPARE that the server answered as failed for one without effect. The outcomes Failed and TimedOut mean that it ran. The next session left out the commands that it needed.

Change: such a connection is reset before its next use.

Ruled out: closing the connection, which costs a server at its connection limit more than a reset.

Why this works: a reset that succeeds leaves nothing set or prepared, which is what the proxy records then.

--- a/internal/managedproxy/conn.go
+++ b/internal/managedproxy/conn.go
@@ -22,6 +22,9 @@
 	broken     bool
 	// state is the state after the last answer.
 	state State
+	// setupUncertain is true if variables and preparedNames may differ from what the server keeps, because a setup
+	// command ran and failed.
+	setupUncertain bool
 }
 
 func newConn(backend Backend, backendServer *server) *conn {
@@ -47,7 +50,7 @@
 func (c *conn) setupCommands(variables map[string]string, prepared *preparedStatement) []Command {
 	var commands []Command
 
-	reset := false
+	reset := c.setupUncertain
 
 	for name := range c.variables {
 		if _, wanted := variables[name]; !wanted {
@@ -74,12 +77,24 @@
 	return commands
 }
 
-// recordEffect records what a successful setup command has changed on the connection.
-func (c *conn) recordEffect(command Command) {
+// recordEffect records what a command has changed on the connection.
+func (c *conn) recordEffect(command Command, outcome Outcome) {
+	if outcome != Done {
+		switch command.Kind {
+		case Reset, Set, Prepare:
+			c.setupUncertain = c.setupUncertain || outcome.Ran()
+		default:
+		}
+
+		return
+	}
+
 	switch command.Kind {
 	case Reset:
 		clear(c.variables)
 		clear(c.preparedNames)
+
+		c.setupUncertain = false
 	case Set:
 		c.variables[command.Name] = command.Value
 	case Prepare:
@@ -146,9 +161,7 @@
 	}
 
 	for i, command := range commands {
-		if answers[i].Outcome == Done {
-			c.recordEffect(command)
-		}
+		c.recordEffect(command, answers[i].Outcome)
 	}
 
 	// Commands behind one that failed have run as well, so only the last answer has the state of the connection.
--- a/internal/managedproxy/setup_test.go
+++ b/internal/managedproxy/setup_test.go
@@ -77,6 +77,61 @@
 	}
 }
 
+// Guards against session variables that are left or missing on a shared connection, because the server answered that the
+// command which set or cleared them had failed, although it had taken effect.
+func TestSetupWithUnknownEffectIsRepeated(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		name    string
+		failing Kind
+		// variable is what the session sets whose statement fails.
+		variable string
+		// former is true if the next statement is of the session that has used the connection before.
+		former bool
+		want   string
+	}{
+		{"variable", Set, "zone", false, "1 READ 3 map[]"},
+		{"reset", Reset, "", true, "1 READ 3 map[former:1]"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFixture(t)
+			primary := f.servers["p"]
+			primary.limit = 1
+			former := f.connect("latest")
+			former.send(Statement{Kind: Set, Name: "former", Value: "1"})
+			require.NoError(t, former.ask(Write, "WRITE 1").Err)
+
+			setFailure := func(failsAfter func(Command) bool) {
+				primary.mutex.Lock()
+				defer primary.mutex.Unlock()
+
+				primary.failsAfter = failsAfter
+			}
+
+			setFailure(func(command Command) bool { return command.Kind == test.failing })
+
+			session := f.connect("latest")
+			if test.variable != "" {
+				session.send(Statement{Kind: Set, Name: test.variable, Value: "a"})
+			}
+
+			require.Error(t, session.ask(Write, "WRITE 2").Err)
+			setFailure(nil)
+
+			next := former
+			if !test.former {
+				next = f.connect("latest")
+			}
+
+			require.NoError(t, next.ask(Read, "READ 3").Err)
+			assert.Equal(t, []string{"1 WRITE 1 map[former:1]", test.want}, primary.ranStatements)
+		})
+	}
+}
+
 // Guards against a write that is acknowledged although the server ran it inside a transaction which nobody commits, and
 // against a statement of a transaction that is acknowledged although the server has no transaction open.
 func TestAnswersInTheWrongState(t *testing.T) {
