managedcontroller, managedproxy: stop commits before a candidate is chosen

Cause: nothing stopped commits between the choice of the candidate and the promotion, which the platform carries out up to a second later. Open transactions went on at the former primary, writes in flight were not waited for, and a proxy that is frozen or cut off could send some at any time.

Evidence: in the record, all replicas report the same position when they are asked, the deaf one is chosen, and the lost commits are acknowledged after that, once another replica has received them.

Change, only where syncReplicas is 1 or more: proxies let open transactions commit for 250 ms, refuse later commits, and report a view as applied when no commit runs; the primary of a planned takeover steps down; replicas are paused and the candidate is chosen by the positions in their answers. Counters commit_stops and commits_stopped.

Why this works: a commit needs a replica that receives it. With as many paused as ChooseCandidate requires, none can be acknowledged any more, and the best of them holds each that was.

Ruled out: a wrong choice among the positions known then, replicas that were not asked, a server of an older term. Weighed: docs/platform.md. The PostgreSQL side fences a quorum before it chooses (core/failover).

--- a/internal/managedcontroller/controller_test.go
+++ b/internal/managedcontroller/controller_test.go
@@ -92,6 +92,41 @@
 	executeUnanswered bool
 	// isolatedPrimary is a former primary that was isolated from the group.
 	isolatedPrimary string
+	// paused are the terms for which replicas are paused, steppedDown is true if the primary is a replica until the next
+	// promotion, and plain servers know neither command.
+	paused      map[string]position.Term
+	steppedDown bool
+	plain       bool
+	// deaf replicas receive nothing. A commit is acknowledged once another one has received it.
+	deaf         map[string]bool
+	acknowledged position.LSN
+	// promoteDelay is the time after which an order is executed.
+	promoteDelay time.Duration
+}
+
+// commit sends a commit to the primary, as a proxy does that is cut off from control.
+func (s *fakeServers) commit() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	if s.steppedDown {
+		return
+	}
+
+	s.received[s.primary]++
+
+	held := false
+
+	for id := range s.received {
+		if id != s.primary && !s.deaf[id] && s.paused[id] == 0 {
+			s.received[id] = s.received[s.primary]
+			held = true
+		}
+	}
+
+	if held {
+		s.acknowledged = s.received[s.primary]
+	}
 }
 
 type probeConn struct {
@@ -111,7 +146,7 @@
 }
 
 // Run implements managedproxy.Backend.
-func (p *probeConn) Run(time.Time, ...managedproxy.Command) ([]managedproxy.Answer, error) {
+func (p *probeConn) Run(_ time.Time, commands ...managedproxy.Command) ([]managedproxy.Answer, error) {
 	p.servers.mutex.Lock()
 	defer p.servers.mutex.Unlock()
 
@@ -123,9 +158,27 @@
 		return []managedproxy.Answer{{Outcome: managedproxy.Busy}}, nil
 	}
 
+	switch command := commands[0]; command.Kind {
+	case managedproxy.Pause, managedproxy.StepDown:
+		if p.servers.plain {
+			return []managedproxy.Answer{{Rows: []string{"1.9"}}}, nil
+		}
+
+		if command.Term <= p.servers.terms[p.id] {
+			return []managedproxy.Answer{{Outcome: managedproxy.NotPrimary}}, nil
+		}
+
+		if command.Kind == managedproxy.Pause {
+			p.servers.paused[p.id] = command.Term
+		} else {
+			p.servers.steppedDown = true
+		}
+	default:
+	}
+
 	return []managedproxy.Answer{{Status: &managedproxy.ServerStatus{
 		Primary: p.servers.claimsPrimary(p.id), Term: p.servers.terms[p.id],
-		Received: position.Position{Term: 1, LSN: p.servers.received[p.id]},
+		Received: position.Position{Term: 1, LSN: p.servers.received[p.id]}, PausedFor: p.servers.paused[p.id],
 	}}}, nil
 }
 
@@ -147,7 +200,18 @@
 	}
 
 	if outcome == Accepted || outcome == Unanswered && s.executeUnanswered {
-		s.makePrimary(order.Server)
+		if s.promoteDelay == 0 {
+			s.makePrimary(order.Server)
+
+			return outcome, nil
+		}
+
+		time.AfterFunc(s.promoteDelay, func() {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+
+			s.makePrimary(order.Server)
+		})
 	}
 
 	return outcome, nil
@@ -156,7 +220,8 @@
 // makePrimary makes a server the primary of the next term. Servers that are down don't learn of that term.
 func (s *fakeServers) makePrimary(id string) {
 	next := s.terms[s.primary] + 1
-	s.primary = id
+	s.primary, s.steppedDown = id, false
+	clear(s.paused)
 
 	for other := range s.terms {
 		if !s.down[other] {
@@ -167,7 +232,7 @@
 
 // claimsPrimary reports whether a server reports that it is the primary: an isolated former primary still does.
 func (s *fakeServers) claimsPrimary(id string) bool {
-	return s.primary == id || s.isolatedPrimary == id
+	return s.primary == id && !s.steppedDown || s.isolatedPrimary == id
 }
 
 func (s *fakeServers) givenOrders() []Order {
@@ -192,7 +257,8 @@
 	f := &fixture{
 		t: t, log: &fakeLog{state: state, changed: make(chan struct{})},
 		servers: &fakeServers{primary: "a", received: map[string]position.LSN{"a": 9, "b": 5, "c": 7}, down: map[string]bool{},
-			terms: map[string]position.Term{"a": 1, "b": 1, "c": 1}, busy: map[string]bool{}},
+			terms: map[string]position.Term{"a": 1, "b": 1, "c": 1}, busy: map[string]bool{},
+			paused: map[string]position.Term{}, deaf: map[string]bool{}},
 	}
 	clock := timer.New()
 	f.controller = New(Options{
--- a/internal/managedcontroller/prober.go
+++ b/internal/managedcontroller/prober.go
@@ -83,6 +83,12 @@
 	// freshConn is true if the connection was opened for the probe.
 	freshConn bool
 	refused   bool
+	// pausedFor is the term for which the server receives nothing, or zero.
+	pausedFor position.Term
+	// notPaused is true if a replica that knows the command did not confirm that it is paused.
+	notPaused bool
+	// unsupported is true if the server does not know the command.
+	unsupported bool
 	// inconclusive is true if no answer arrived in time, but this process was late and may have missed the answer.
 	inconclusive bool
 	err          error
@@ -101,9 +107,14 @@
 
 // probe asks a server for its status, on a new connection if fresh is set or none is open.
 func (p *prober) probe(server topology.Server, fresh bool) probeResult {
+	return p.send(server, managedproxy.Command{Statement: managedproxy.Statement{Kind: managedproxy.Status}}, fresh)
+}
+
+// send sends a command that a server answers with its status, like probe.
+func (p *prober) send(server topology.Server, command managedproxy.Command, fresh bool) probeResult {
 	began := time.Now()
 	deadline := began.Add(p.queue.timeout())
-	probed := p.ask(deadline, server, fresh)
+	probed := p.ask(deadline, server, command, fresh)
 	now := time.Now()
 	// An error before the deadline comes from the network or the server, and not from this process.
 	probed.inconclusive = !probed.answered && !probed.refused && !now.Before(deadline) && !p.queue.meter.Missed(began, now, probeTimeout)
@@ -111,7 +122,7 @@
 	return probed
 }
 
-func (p *prober) ask(deadline time.Time, server topology.Server, fresh bool) probeResult {
+func (p *prober) ask(deadline time.Time, server topology.Server, command managedproxy.Command, fresh bool) probeResult {
 	conn := p.conns[server.ID]
 
 	if conn != nil && fresh {
@@ -132,14 +143,18 @@
 		p.conns[server.ID] = opened
 	}
 
-	answers, err := conn.Run(deadline, managedproxy.Command{Statement: managedproxy.Statement{Kind: managedproxy.Status}})
+	answers, err := conn.Run(deadline, command)
 	if err != nil {
 		p.closeConn(server.ID)
 
 		return probed.withError(err)
 	}
 
-	return probed.withAnswer(answers[0])
+	probed = probed.withAnswer(answers[0])
+	probed.unsupported = command.Kind != managedproxy.Status && answers[0].Status == nil &&
+		(answers[0].Outcome == managedproxy.Done || answers[0].Outcome == managedproxy.OtherFailure)
+
+	return probed
 }
 
 func (r probeResult) withError(err error) probeResult {
@@ -169,20 +184,21 @@
 	}
 
 	r.primary, r.term, r.position = answer.Status.Primary, answer.Status.Term, answer.Status.Received
+	r.pausedFor = answer.Status.PausedFor
 
 	return r
 }
 
-// probeWithRetries probes a server and retries while it is busy.
-func (p *prober) probeWithRetries(ctx context.Context, server topology.Server) probeResult {
-	probed := p.probe(server, true)
+// sendWithRetries sends a command on a new connection and retries while the server is busy.
+func (p *prober) sendWithRetries(ctx context.Context, server topology.Server, command managedproxy.Command) probeResult {
+	probed := p.send(server, command, true)
 
 	for range busyRetries {
-		if !probed.busy || timer.Sleep(ctx, busyRetryDelay) != nil {
+		if !probed.busy || probed.unsupported || timer.Sleep(ctx, busyRetryDelay) != nil {
 			break
 		}
 
-		probed = p.probe(server, false)
+		probed = p.send(server, command, false)
 	}
 
 	return probed
--- a/internal/managedcontroller/takeover.go
+++ b/internal/managedcontroller/takeover.go
@@ -11,6 +11,7 @@
 	"almondgrade/core/position"
 	"almondgrade/core/promotion"
 	"almondgrade/core/topology"
+	"almondgrade/internal/managedproxy"
 )
 
 const (
@@ -115,28 +116,32 @@
 	replicas := s.replicas(view, group)
 	requirements := promotion.Requirements{Replicas: len(replicas), Term: group.Term}
 
-	candidates, leader := s.gatherCandidates(group, replicas)
-	if leader != "" {
-		// An earlier order was executed late. A new order for the same server changes nothing, and its higher token
-		// keeps orders that are still in flight from being executed.
-		candidates = []promotion.Candidate{{ID: leader, Term: group.Term}}
-	} else if group.Planned {
-		candidates = s.awaitCatchUp(view, group, replicas, candidates)
+	if settings, known := groupSettings(view, s.group); known {
+		requirements.SyncReplicas = settings.SyncReplicas
 	}
 
-	if settings, known := groupSettings(view, s.group); known && leader == "" {
-		requirements.SyncReplicas = settings.SyncReplicas
+	// Servers are stopped only once a candidate is recorded, because until then the takeover can be abandoned and they would
+	// stay stopped.
+	stops := requirements.SyncReplicas > 0
+	mustRecordFirst := stops && group.Phase == topology.PhaseFencing
+
+	candidates, leader := s.gatherCandidates(group, replicas, statusCommand)
+
+	if leader == "" && group.Planned && !mustRecordFirst {
+		candidates = s.awaitCatchUp(view, group, replicas, candidates)
 	}
 
-	id, possible := promotion.ChooseCandidate(candidates, requirements)
-	if !possible && len(candidates) > 0 && s.newestTermTimedOut(time.Now()) {
-		s.logger().Warn("no server of the newest term answered in time; a server of an older term may be promoted", "group", s.group,
-			"needs", requirements, "candidates", candidates)
+	if _, possible := s.chooseCandidate(candidates, requirements); leader == "" && possible && stops && !mustRecordFirst {
+		candidates, leader = s.stopCommits(view, group, replicas, candidates)
+	}
 
-		requirements.Term = 0
-		id, possible = promotion.ChooseCandidate(candidates, requirements)
+	if leader != "" {
+		// An earlier order was executed late. A new order for the same server changes nothing, and its higher token
+		// keeps orders that are still in flight from being executed.
+		candidates, requirements.SyncReplicas = []promotion.Candidate{{ID: leader, Term: group.Term}}, 0
 	}
 
+	id, possible := s.chooseCandidate(candidates, requirements)
 	if !possible {
 		s.logger().Warn("no server can be promoted", "group", s.group, "needs", requirements, "candidates", candidates)
 
@@ -155,9 +160,30 @@
 
 	s.leadership.refreshView(time.Now())
 
+	if mustRecordFirst {
+		view = s.leadership.controller.options.State.View()
+
+		return s.recordCandidate(view, view.Groups[s.group])
+	}
+
 	return answer.Number, view.Servers[id]
 }
 
+// chooseCandidate chooses a candidate. If all that reported know only older terms, it accepts one of them after
+// newestTermTimeout.
+func (s *groupSupervisor) chooseCandidate(candidates []promotion.Candidate, requirements promotion.Requirements) (id string, possible bool) {
+	id, possible = promotion.ChooseCandidate(candidates, requirements)
+	if !possible && len(candidates) > 0 && s.newestTermTimedOut(time.Now()) {
+		s.logger().Warn("no server of the newest term answered in time; a server of an older term may be promoted", "group", s.group,
+			"needs", requirements, "candidates", candidates)
+
+		requirements.Term = 0
+		id, possible = promotion.ChooseCandidate(candidates, requirements)
+	}
+
+	return id, possible
+}
+
 // newestTermTimedOut reports whether the takeover has waited newestTermTimeout for a server of the newest term.
 func (s *groupSupervisor) newestTermTimedOut(now time.Time) bool {
 	if s.newestTermMissingSince.IsZero() {
@@ -180,11 +206,11 @@
 	return replicas
 }
 
-// gatherCandidates asks all replicas for their positions in parallel. A replica whose position is unknown is no
-// candidate, because promoting it could discard any number of commits. The leader is a replica that is already the
-// primary of a newer term than the former primary's.
+// gatherCandidates sends a command to all replicas in parallel and returns the positions that they report. A replica whose
+// position is unknown is no candidate, because promoting it could discard any number of commits. Neither is one that was
+// to be paused and is not. The leader is a replica that is already the primary of a newer term than the former primary's.
 func (s *groupSupervisor) gatherCandidates(
-	group topology.Group, replicas []topology.Server,
+	group topology.Group, replicas []topology.Server, command managedproxy.Command,
 ) (candidates []promotion.Candidate, leader string) {
 	results := make([]probeResult, len(replicas))
 
@@ -195,7 +221,16 @@
 			replicaProber := newProber(s.leadership.controller.options.Dial, s.leadership.probes)
 			defer replicaProber.close()
 
-			results[i] = replicaProber.probeWithRetries(s.leadership.ctx, replica)
+			probed := replicaProber.sendWithRetries(s.leadership.ctx, replica, command)
+			probed.notPaused = command.Kind == managedproxy.Pause && !probed.unsupported && probed.pausedFor < command.Term
+
+			if probed.unsupported {
+				s.logger().Warn("server does not know a command", "group", s.group, "server", replica.ID, "error", probed.err)
+
+				probed = replicaProber.sendWithRetries(s.leadership.ctx, replica, statusCommand)
+			}
+
+			results[i] = probed
 
 			return nil
 		})
@@ -203,20 +238,22 @@
 
 	_ = probes.Wait() // The functions return no errors.
 
-	for i, probed := range results {
+	for i, replica := range replicas {
+		probed := results[i]
+
 		if probed.primary && probed.term > group.Term {
-			leader = replicas[i].ID
+			leader = replica.ID
 		}
 
-		if !probed.answered || probed.busy {
-			s.logger().Info("replica did not report its position", "group", s.group, "server", replicas[i].ID, "busy", probed.busy,
-				"error", probed.err)
+		if !probed.answered || probed.busy || probed.notPaused {
+			s.logger().Info("replica did not report its position, or is not paused", "group", s.group, "server", replica.ID,
+				"busy", probed.busy, "not paused", probed.notPaused, "error", probed.err)
 
 			continue
 		}
 
 		candidates = append(candidates, promotion.Candidate{
-			ID: replicas[i].ID, Term: probed.term, Received: probed.position, Leaving: replicas[i].Leaving,
+			ID: replica.ID, Term: probed.term, Received: probed.position, Leaving: replica.Leaving,
 		})
 	}
 
@@ -247,7 +284,7 @@
 			return candidates
 		}
 
-		candidates, _ = s.gatherCandidates(group, replicas)
+		candidates, _ = s.gatherCandidates(group, replicas, statusCommand)
 	}
 
 	return candidates
--- a/internal/manageddaemon/proxy.go
+++ b/internal/manageddaemon/proxy.go
@@ -150,7 +150,8 @@
 	delay, reached, acceptsDeltas := syncRetryDelay, true, true
 
 	for ctx.Err() == nil {
-		version, number := p.gateway.AppliedVersions()
+		_, number := p.gateway.AppliedVersions()
+		version := p.gateway.SettledVersion()
 		sent := timer.BootTimeNow()
 
 		reply, err := client.Sync(ctx, &managedcontrol.SyncRequest{
--- a/internal/managedproxy/gateway.go
+++ b/internal/managedproxy/gateway.go
@@ -83,6 +83,8 @@
 	// heldTransactions are the open transactions of other proxies' callers.
 	heldTransactions map[uint64]*forwardedSession
 	viewChanged      chan struct{}
+	// settledVersion is the result of the last call of SettledVersion.
+	settledVersion managedcontrol.Version
 }
 
 // New returns a gateway without a configuration.
--- a/internal/managedproxy/gateway_test.go
+++ b/internal/managedproxy/gateway_test.go
@@ -188,6 +188,10 @@
 	mutex   sync.Mutex
 	version uint64
 	group   topology.Group
+	// idleTimeout is the time after which an idle transaction is rolled back.
+	idleTimeout time.Duration
+	// syncReplicas is the number of replicas that must hold a commit of the group.
+	syncReplicas int
 	// customers are the customers of the configuration, dialedFor those for which connections were opened.
 	customers *topology.CustomerList
 	dialedFor []string
@@ -199,7 +203,7 @@
 	t.Helper()
 
 	f := &fixture{
-		require: require.New(t), now: time.Unix(1000, 0), group: topology.Group{Name: "g", Primary: "p"},
+		require: require.New(t), now: time.Unix(1000, 0), idleTimeout: 30 * time.Millisecond, group: topology.Group{Name: "g", Primary: "p"},
 		servers: map[string]*fakeServer{
 			"p": {primary: true, position: position.Position{Term: 1, LSN: 10}}, "r": {position: position.Position{Term: 1, LSN: 10}},
 		},
@@ -265,11 +269,11 @@
 	}
 
 	f.gateway.Apply(&topology.Configuration{
-		Number: number, Groups: []topology.GroupSettings{{Name: "g", MaxConnections: 10}},
+		Number: number, Groups: []topology.GroupSettings{{Name: "g", MaxConnections: 10, SyncReplicas: f.syncReplicas}},
 		Pools: []topology.Pool{
 			pool("latest", topology.FreshnessLatest), pool("bounded", topology.FreshnessBounded), pool("session", topology.FreshnessSession),
 		},
-		Limits: topology.Limits{IdleTransactionTimeout: 30 * time.Millisecond}, Customers: f.customers,
+		Limits: topology.Limits{IdleTransactionTimeout: f.idleTimeout}, Customers: f.customers,
 	}, nil)
 }
 
--- a/internal/managedproxy/server.go
+++ b/internal/managedproxy/server.go
@@ -34,6 +34,10 @@
 	connPool          *connPool
 	dial              Dialer
 	runningStatements atomic.Int64
+	// runningCommits counts the commits that were sent or are about to be sent, openWrites the open transactions that have
+	// written.
+	runningCommits atomic.Int64
+	openWrites     atomic.Int64
 	serverCapacity
 
 	mutex sync.Mutex
--- a/internal/managedproxy/statement.go
+++ b/internal/managedproxy/statement.go
@@ -22,9 +22,13 @@
 	Prepare
 	Execute
 	Deallocate
-	// Callers never send Reset and Status.
+	// Callers never send the kinds from Reset on.
 	Reset
 	Status
+	// Pause makes a replica receive nothing until the next promotion, StepDown makes a primary of a term below the
+	// command's a replica. The answer to both is the status.
+	Pause
+	StepDown
 )
 
 // Statement is a request of a caller.
@@ -49,6 +53,13 @@
 	Prepared string
 	// After is the position that the server's log must hold before the command runs, or zero.
 	After position.Position
+	// Term is the term of a Pause or StepDown.
+	Term position.Term
+}
+
+// ReportsStatus reports whether the answer to a command of this kind has a status.
+func (k Kind) ReportsStatus() bool {
+	return k == Status || k == Pause || k == StepDown
 }
 
 // State is the state of a session or a connection.
@@ -106,7 +117,7 @@
 	State     State
 	// Position is the last position of the server's log.
 	Position position.Position
-	// Status is the answer to a Status command.
+	// Status is the answer to a command whose kind reports the status.
 	Status *ServerStatus
 }
 
--- a/internal/managedproxy/statementrun.go
+++ b/internal/managedproxy/statementrun.go
@@ -73,6 +73,16 @@
 			return to, answer, true
 		}
 
+		var takeover *takeoverError
+		if errors.As(err, &takeover) {
+			// The takeover began while the statement waited for a connection.
+			if !r.awaitTakeover(err) {
+				break
+			}
+
+			continue
+		}
+
 		if errors.Is(err, errCallerGone) {
 			r.session.gateway.count("caller_gone")
 			r.lastErr = err
@@ -252,7 +262,7 @@
 
 // takeoverError means that the group has no usable primary now but will soon have one.
 type takeoverError struct {
-	refusal *result.Error
+	refusal error
 }
 
 // Error implements error.
@@ -390,6 +400,17 @@
 		return Answer{}, withTimeToReturn(err, to.server, &r.pool)
 	}
 
+	if begin == nil && r.command.Writes {
+		to.server.runningCommits.Add(1)
+		defer to.server.runningCommits.Add(-1)
+
+		if refusal := r.session.gateway.view.Load().commitsStopped(r.pool.Group); refusal != nil {
+			to.server.connPool.put(conn)
+
+			return Answer{}, &takeoverError{refusal}
+		}
+	}
+
 	began := time.Now()
 
 	to.server.runningStatements.Add(1)
--- a/internal/managedproxy/status.go
+++ b/internal/managedproxy/status.go
@@ -9,4 +9,6 @@
 	Term position.Term
 	// Received is the last position of its log.
 	Received position.Position
+	// PausedFor is the term of the Pause in force, or zero.
+	PausedFor position.Term
 }
--- a/internal/managedproxy/transaction.go
+++ b/internal/managedproxy/transaction.go
@@ -187,6 +187,17 @@
 	deadline := time.Now().Add(s.tx.pool.Timeout)
 	commands := conn.setupCommands(s.variables, prepared)
 
+	if command.Kind == Commit && s.tx.hasWritten {
+		s.tx.server.runningCommits.Add(1)
+		defer s.tx.server.runningCommits.Add(-1)
+
+		if refusal := s.gateway.view.Load().commitsStopped(s.tx.pool.Group); refusal != nil {
+			s.gateway.count("commits_stopped")
+
+			return s.abort(command, &rolledBackError{refusal})
+		}
+	}
+
 	began := time.Now()
 
 	s.tx.server.runningStatements.Add(1)
@@ -252,7 +263,10 @@
 	s.tx.server.recordAnswer(time.Now())
 
 	reply := Reply{Rows: answer.Rows, Signature: answer.Signature, Position: answer.Position, State: Open}
-	s.tx.hasWritten = s.tx.hasWritten || command.Writes
+	if command.Writes && !s.tx.hasWritten {
+		s.tx.hasWritten = true
+		s.tx.server.openWrites.Add(1)
+	}
 
 	if command.Kind != Commit && command.Kind != Rollback {
 		if answer.State != Open {
@@ -329,4 +343,8 @@
 	s.tx.conn.broken = s.tx.conn.broken || broken
 	s.tx.server.connPool.put(s.tx.conn)
 	s.tx.conn = nil
+
+	if s.tx.hasWritten {
+		s.tx.server.openWrites.Add(-1)
+	}
 }
--- a/internal/managedproxy/view.go
+++ b/internal/managedproxy/view.go
@@ -35,6 +35,8 @@
 	primary *server
 	servers []*server
 	track   *freshnessTrack
+	// commitStop is set while commits to the primary end because it is replaced.
+	commitStop *commitStop
 }
 
 // freshnessTrack guards a freshness.Tracker for concurrent use.
@@ -116,7 +118,7 @@
 	}
 
 	if next.controlView != nil {
-		next.groups = g.buildGroups(next.controlView, next.holders)
+		next.groups = g.buildGroups(next.controlView, &next)
 		g.setConnectionLimits(&next)
 	}
 
@@ -133,7 +135,7 @@
 
 // buildGroups returns the groups of a view. It reuses the server objects that exist and closes the pools of removed
 // servers. The view may lack the groups whose connections other proxies hold. The mutex is held.
-func (g *Gateway) buildGroups(control *managedcontrol.View, holders map[string]*holderSet) map[string]*viewGroup {
+func (g *Gateway) buildGroups(control *managedcontrol.View, next *view) map[string]*viewGroup {
 	previousGroups := g.view.Load().groups
 	groups := make(map[string]*viewGroup, len(control.Groups))
 	listed := make(map[string]bool, len(control.Servers))
@@ -143,7 +145,10 @@
 			g.tracks[info.Name] = &freshnessTrack{track: freshness.New()}
 		}
 
-		groups[info.Name] = &viewGroup{Group: info, track: g.tracks[info.Name]}
+		groups[info.Name] = &viewGroup{
+			Group: info, track: g.tracks[info.Name],
+			commitStop: newCommitStop(previousGroups[info.Name], info, next.syncReplicas(info), time.Now()),
+		}
 
 		if previous := previousGroups[info.Name]; previous != nil && (previous.Primary != info.Primary || previous.Phase != info.Phase) {
 			g.options.Logger.Info("primary or phase of a group changed", "group", info.Name, "primary", info.Primary,
@@ -185,7 +190,7 @@
 		}
 
 		// Transactions that were begun while the proxy was a holder end on their connections.
-		if holders[known.info.Load().Group].mustForward() {
+		if next.holders[known.info.Load().Group].mustForward() {
 			known.connPool.retire()
 
 			if known.connPool.takeDemand().Open > 0 {
@@ -218,6 +223,21 @@
 	return byGroup
 }
 
+// syncReplicas returns the number of replicas that must hold a commit of a group which is changing its primary.
+func (v *view) syncReplicas(group topology.Group) int {
+	if group.Phase == topology.PhaseStable || v.configuration == nil {
+		return 0
+	}
+
+	for _, settings := range v.configuration.Groups {
+		if settings.Name == group.Name {
+			return settings.SyncReplicas
+		}
+	}
+
+	return 0
+}
+
 // maxConnections returns the number of connections to each server of a group that the configuration permits.
 func (v *view) maxConnections(group string) int {
 	for _, settings := range v.configuration.Groups {
