core/topology, platform: refuse announcements that no server can make

A service name with a line break became lines of the servers' protocol: a listener received "QUERY 1 WRITE 1 odd".

Cause: the fields of a heartbeat were checked for presence and type, but not for values that no server can have.

Change: topology.Server.Validate is applied to each announcement before it is recorded: names of 1 to 128 bytes without blanks and control characters, an address of one server, bounded numbers.

Deep nesting, numbers beyond 64 bits and ports out of range were refused before; no process ended.

--- a/internal/managedcontroller/leadership.go
+++ b/internal/managedcontroller/leadership.go
@@ -504,6 +504,10 @@
 
 // announce keeps an announcement in memory and proposes it to the log if it changes what is recorded.
 func (l *leadership) announce(ctx context.Context, server topology.Server) error {
+	if err := server.Validate(); err != nil {
+		return err //nolint:wrapcheck // It carries a result code.
+	}
+
 	l.mutex.Lock()
 	last, known := l.announcements[server.ID]
 	final, withdrawn := l.withdrawn[server.ID]
