managedcontroller, managedproxy: replace a primary that has started again without its data

Cause: a primary that answers probes is not dead, and control had no decision for one that answers as a replica while no other server leads. Reads of the latest data carried no position, so that any log could serve them.

Change: promotion.Evidence.Demoted, after three such probes. Reads of the latest data carry the newest position of the group's term that the proxy has seen.

Why this works: the server itself refuses a read that its log can't serve, and the group gets a primary that holds the data. Positions of earlier terms are left out, because a promotion may have discarded them.

Ruled out: the leases. Control itself named the server. Comparing the start time in announcements: a primary that loses its role for another reason would stay.

The PostgreSQL side was not examined.

--- a/core/promotion/judge.go
+++ b/core/promotion/judge.go
@@ -44,6 +44,9 @@
 	ProbeState failover.State
 	// FailedFor is the time between the first and the last of the consecutive failures that ProbeState counts.
 	FailedFor time.Duration
+	// Demoted is true if the primary itself answers that it is a replica and no other server is the primary, for example
+	// because it has started again without its data.
+	Demoted bool
 	// Gone is true if the primary has withdrawn, so that there is nothing to probe.
 	Gone bool
 	// Leaving is true if the primary has announced a planned stop.
@@ -55,7 +58,7 @@
 // in the leader's process or network: either a proxy that uses the primary has lost it as well, or the probes have failed
 // for unconfirmedDeadTimeout and no proxy reports on it.
 func JudgePrimary(e Evidence) Verdict {
-	if e.Leaving {
+	if e.Leaving || e.Demoted {
 		return Replace
 	}
 
--- a/core/promotion/promotion_test.go
+++ b/core/promotion/promotion_test.go
@@ -30,6 +30,7 @@
 		want     promotion.Verdict
 	}{
 		{"healthy", promotion.Evidence{ProxyReports: []promotion.ProxyReport{reached, idle}}, promotion.Keep},
+		{"demoted though proxies reach it", promotion.Evidence{Demoted: true, ProxyReports: []promotion.ProxyReport{reached, reached}}, promotion.Replace},
 		{"leaving", promotion.Evidence{Leaving: true}, promotion.Replace},
 		{"dead", promotion.Evidence{ProbeState: failover.Dead, ProxyReports: []promotion.ProxyReport{failing, idle}}, promotion.Replace},
 		{"dead, no opinion of proxies yet", promotion.Evidence{ProbeState: failover.Dead, FailedFor: time.Second}, promotion.Keep},
--- a/internal/managedcontroller/supervisor.go
+++ b/internal/managedcontroller/supervisor.go
@@ -16,6 +16,9 @@
 	// deadAfterFailures is the number of consecutive failed probes on new connections after which a primary counts as
 	// dead.
 	deadAfterFailures = 3
+	// demotedAfterProbes is the number of probes in which a primary must answer that it is a replica, without one between
+	// them in which it is the primary, and while no other server is, before it is replaced.
+	demotedAfterProbes = 3
 	// slowThreshold is the response time above which an answer counts as slow.
 	slowThreshold = 200 * time.Millisecond
 )
@@ -33,6 +36,9 @@
 	// has counted, or zero.
 	firstFailure time.Time
 	lastFailure  time.Time
+	// demotedProbes is the number of probes in which the primary has answered that it is a replica, since it last answered
+	// that it is the primary.
+	demotedProbes int
 	// newestTermMissingSince is the time since which the current takeover has found no server of the newest term.
 	newestTermMissingSince time.Time
 }
@@ -67,8 +73,8 @@
 	}
 }
 
-// adoptPrimary records the server that reports that it is the primary, if there is one.
-func (s *groupSupervisor) adoptPrimary(view *topology.View, group topology.Group) {
+// adoptPrimary records the server that reports that it is the primary, and returns whether there is one.
+func (s *groupSupervisor) adoptPrimary(view *topology.View, group topology.Group) bool {
 	var (
 		primary string
 		state   probeResult
@@ -87,7 +93,7 @@
 	}
 
 	if primary == "" {
-		return
+		return false
 	}
 
 	_, err := s.leadership.controller.propose(s.leadership.ctx, topology.Command{
@@ -96,12 +102,14 @@
 	s.logger().Info("primary adopted", "group", s.group, "primary", primary, "former", group.Primary, "term",
 		state.term, "position", state.position, "error", err)
 	s.leadership.refreshView(time.Now())
+
+	return true
 }
 
 // monitorPrimary probes the primary and begins a takeover if it has failed or is about to leave.
 func (s *groupSupervisor) monitorPrimary(view *topology.View, group topology.Group) {
 	if s.monitored != group.Primary {
-		s.monitored, s.firstFailure, s.lastFailure = group.Primary, time.Time{}, time.Time{}
+		s.monitored, s.firstFailure, s.lastFailure, s.demotedProbes = group.Primary, time.Time{}, time.Time{}, 0
 		s.detector = failover.NewDetector(failover.Thresholds{
 			Failures: deadAfterFailures, FailureSpacing: probeInterval, SlowAfter: slowThreshold,
 		})
@@ -118,11 +126,12 @@
 			s.leadership.recordPosition(s.group, primaryPosition{position: probed.position, askedAt: asked})
 		}
 
-		if probed.answered && !probed.primary && !probed.busy {
-			// It stopped being the primary without an order from this control; another server may be the primary.
-			s.adoptPrimary(view, group)
+		if s.observeRole(view, group, probed) {
+			return
 		}
 
+		evidence.Demoted = s.demotedProbes >= demotedAfterProbes
+
 		evidence.ProbeState = s.detector.State()
 		evidence.FailedFor = s.lastFailure.Sub(s.firstFailure)
 		evidence.Leaving = primary.Leaving
@@ -141,7 +150,7 @@
 		Fence: &topology.Fence{Group: s.group, Primary: group.Primary, Planned: known && primary.Leaving && evidence.ProbeState != failover.Dead},
 	})
 	s.logger().Warn("takeover begins", "group", s.group, "primary", group.Primary, "known", known, "probes",
-		evidence.ProbeState.String(), "leaving", evidence.Leaving, "announced", s.leadership.announcedRecently(now, group.Primary), "sights", evidence.ProxyReports,
+		evidence.ProbeState.String(), "leaving", evidence.Leaving, "demoted", evidence.Demoted, "announced", s.leadership.announcedRecently(now, group.Primary), "sights", evidence.ProxyReports,
 		"failed for", evidence.FailedFor, "late", s.leadership.controller.lateness.LateDuring(now.Add(-maxProbeTimeout), now),
 		"error", err)
 
@@ -150,6 +159,23 @@
 	}
 }
 
+// observeRole counts the probes in which the recorded primary answers that it is a replica. It stopped being the primary
+// without an order from this control, so another server may be the primary: observeRole returns whether one was adopted.
+func (s *groupSupervisor) observeRole(view *topology.View, group topology.Group, probed probeResult) bool {
+	switch {
+	case probed.primary:
+		s.demotedProbes = 0
+	case probed.answered && !probed.busy:
+		if s.adoptPrimary(view, group) {
+			return true
+		}
+
+		s.demotedProbes++
+	}
+
+	return false
+}
+
 // probePrimary probes the primary and passes the outcome to the detector. After a failure on an open connection it
 // retries at once on a new one, because only the connection may be lost. A probe without an answer while this process was
 // late says nothing and is not passed on.
--- a/internal/managedproxy/gateway_test.go
+++ b/internal/managedproxy/gateway_test.go
@@ -122,6 +122,10 @@
 			return Answer{Outcome: NotPrimary}, nil
 		}
 
+		if c.server.position.Less(command.After) {
+			return Answer{Outcome: Behind}, nil
+		}
+
 		if c.state == Open {
 			c.server.ranInside = append(c.server.ranInside, "BEGIN")
 		}
--- a/internal/managedproxy/statementrun.go
+++ b/internal/managedproxy/statementrun.go
@@ -307,6 +307,11 @@
 			err = result.New(result.Unconfirmed, "the proxy can't confirm the primary of group %s", r.pool.Group)
 		}
 
+		if err == nil {
+			// A primary that has started again without its data refuses the read, instead of serving it from an empty log.
+			to.after = to.group.track.newest(to.group.Term)
+		}
+
 		return to, err
 	}
 
--- a/internal/managedproxy/view.go
+++ b/internal/managedproxy/view.go
@@ -52,6 +52,18 @@
 	t.track.Observe(at, seen)
 }
 
+// newest returns the position that was last observed of the primary of a term, or zero if none was.
+func (t *freshnessTrack) newest(term position.Term) position.Position {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+
+	if seen, _, known := t.track.Latest(); known && seen.Term == term {
+		return seen
+	}
+
+	return position.Position{}
+}
+
 func (t *freshnessTrack) floor(now time.Time, maxAge time.Duration) (position.Position, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
