controller: confirm the leadership before a replica is attached

What callers could see: on the PostgreSQL side, commits that are confirmed by a replica which a failover has fenced, and that the next primary lacks.

Cause: a control process that has lost its lead without noticing found a replica fenced and attached it to the former primary again, because attachReplica did not confirm the leadership.

Evidence: with a leader that is deposed in the test's log, the fenced replica follows the former primary again within a second.

Change: the leadership is confirmed between fencing and attaching, and the group must be stable in the same term with the same primary. Counter attach_unconfirmed.

Why this works: a deposed process can't confirm, and a confirmed one has applied the next failover's record.

Ruled out: planned moves and the choice of the candidate, which fence a quorum first; the target only decides between equal positions.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -37,10 +37,12 @@
 
 // memoryLog is a log of one member, which leads until setLeader says otherwise.
 type memoryLog struct {
-	mutex   sync.Mutex
-	state   *registry.State
-	index   uint64
-	leader  bool
+	mutex  sync.Mutex
+	state  *registry.State
+	index  uint64
+	leader bool
+	// deposed is true for a leader that has not noticed yet that another one was elected.
+	deposed bool
 	changed chan struct{}
 }
 
@@ -52,7 +54,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 
-	if !l.leader {
+	if !l.leader || l.deposed {
 		return nil, result.New(result.NotLeader, "127.0.0.1:1")
 	}
 
@@ -68,7 +70,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 
-	if !l.leader {
+	if !l.leader || l.deposed {
 		return 0, result.New(result.NotLeader, "127.0.0.1:1")
 	}
 
@@ -89,6 +91,14 @@
 	return l.changed
 }
 
+// depose makes the process a leader without a quorum.
+func (l *memoryLog) depose() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	l.deposed = true
+}
+
 func (l *memoryLog) setLeader(leader bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -612,3 +622,36 @@
 	assert.Equal(t, uint32(result.NameClaimed), reply.GetCode())
 	assert.Equal(t, known.Identity, f.state.View().Servers["a"].Identity)
 }
+
+// Guards against commits that the former primary acknowledges after the next leader of control has fenced its replicas: a
+// leader that has not noticed its end attached them again.
+func TestDeposedLeaderAttachesNoReplica(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	members := f.startMembers(3)
+	f.log.depose()
+
+	// The next leader fences a replica for a failover.
+	ctx, cancel := context.WithTimeout(context.Background(), maxWait)
+	defer cancel()
+
+	admin, err := backend.OpenAdmin(ctx, members[1].Addr(), backend.Login{User: "almondgrade", Database: "main"}, "test")
+	require.NoError(t, err)
+
+	_, err = admin.Fence(ctx, "b")
+	require.NoError(t, err)
+	admin.Close()
+
+	f.eventually("the deposed leader finds the fenced replica", func() error {
+		seen, err := f.observe(members[1])
+		require.NoError(t, err)
+		require.True(t, seen.Attachment.Fenced, "the replica was attached again")
+
+		if metrics.GetOrRegisterCounter("attach_unconfirmed", f.metrics).Count() == 0 {
+			return fmt.Errorf("it has not tried to attach the replica")
+		}
+
+		return nil
+	})
+}
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -225,7 +225,8 @@
 // attachReplica makes a server follow the primary if its log is a prefix of the primary's. If the server has received a
 // part of the log that was discarded, the platform must rewind it first: otherwise its position would not show what it
 // holds. The server is fenced before its log is judged, because until then it may still receive from the primary of an
-// older term.
+// older term. The leadership is confirmed before it is attached: the next leader may have fenced it for a failover, and
+// the former primary could acknowledge commits by it that the failover does not count.
 func (w *worker) attachReplica(
 	ctx context.Context, admin *backend.Admin, group registry.Group, server registry.Server, address netip.AddrPort,
 ) {
@@ -246,6 +247,13 @@
 		return
 	}
 
+	if err := w.confirmGroup(ctx, group); err != nil {
+		w.lead.controller.incrementCounter("attach_unconfirmed")
+		logger.Warn("server is not attached: the leadership can't be confirmed or the group has changed", "error", err)
+
+		return
+	}
+
 	if err := admin.Attach(ctx, server.Name, group.Term, address); err != nil {
 		logger.Warn("attaching failed", "error", err)
 
@@ -255,6 +263,20 @@
 	logger.Info("server attached", "term", group.Term)
 }
 
+// confirmGroup returns nil if this process still leads control and the group is stable in the given term.
+func (w *worker) confirmGroup(ctx context.Context, group registry.Group) error {
+	if err := w.lead.controller.confirmLeadership(ctx); err != nil {
+		return err
+	}
+
+	current := w.lead.controller.view().Groups[group.Name]
+	if current.Term != group.Term || current.Phase != registry.PhaseStable || current.Primary != group.Primary {
+		return eris.Errorf("group %s is in term %d, phase %s, primary %s", group.Name, current.Term, current.Phase, current.Primary)
+	}
+
+	return nil
+}
+
 func serverNames(servers []registry.Server) []string {
 	set := container.NewSet[string]()
 	for _, server := range servers {
