managedcontroller: time the confirmation of the leadership by the boot clock

What callers could see: reads of the latest data from a former primary, by a lease that a leader grants after its VM was suspended. Named by the review as seen in the source; no run with whole processes has shown it.

Cause: the time since the last confirmation, and the ages of positions, came from the steady clock, which stands still while the VM is suspended. Another process may have led meanwhile and waited for the leases that it knew of only.

Change: Options.BootTime, by default timer.BootTimeNow, for both. The tests' controllers use the steady clock plus an offset.

Why this works: a confirmation that began before the suspension is older than a lease after it, so nothing is granted until the next one.

Ruled out: the table of granted leases, which errs on the side of waiting.

--- a/internal/managedcontroller/controller.go
+++ b/internal/managedcontroller/controller.go
@@ -81,6 +81,8 @@
 	Metrics *metrics.Metrics
 	// AnnounceInterval is the interval at which backend servers announce themselves.
 	AnnounceInterval time.Duration
+	// BootTime is the clock for what must not outlast a suspension of the VM. Nil means timer.BootTimeNow.
+	BootTime func() time.Time
 }
 
 // Controller implements managedcontrol.Service. It is safe for concurrent use.
@@ -103,6 +105,10 @@
 
 // New starts a controller.
 func New(options Options) *Controller {
+	if options.BootTime == nil {
+		options.BootTime = timer.BootTimeNow
+	}
+
 	ctx, cancel := context.WithCancel(context.Background())
 	created := &Controller{options: options, ctx: ctx, cancel: cancel, ticks: make(chan struct{}, 1), lateness: lateness.New(latenessInterval)}
 	created.stopLateness = options.Timer.Every(latenessInterval, func(time.Time) { created.lateness.Tick(time.Now()) })
--- a/internal/managedcontroller/controller_test.go
+++ b/internal/managedcontroller/controller_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -248,6 +249,12 @@
 	servers    *fakeServers
 	controller *Controller
 	sequence   uint64
+	// suspended is the time in nanoseconds for which the VM of the controller was suspended.
+	suspended atomic.Int64
+}
+
+func (f *fixture) bootTime() time.Time {
+	return time.Now().Add(time.Duration(f.suspended.Load()))
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -264,6 +271,7 @@
 	f.controller = New(Options{
 		Name: "control", Log: f.log, State: state, Promote: f.servers.promote, Dial: f.servers.dial, Timer: clock,
 		Logger: slog.New(slog.DiscardHandler), Metrics: metrics.New(), AnnounceInterval: time.Hour,
+		BootTime: f.bootTime,
 	})
 
 	t.Cleanup(func() {
@@ -766,3 +774,30 @@
 	assert.True(t, placed)
 	assert.Empty(t, holders)
 }
+
+// Guards against leases and positions from a leader that was suspended: another process may have led meanwhile, and has
+// not waited for leases that are granted later.
+func TestSuspendedLeaderGrantsNoLease(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.awaitPrimary("a")
+
+	request := &managedcontrol.SyncRequest{Proxy: "p", Instance: 1}
+
+	require.Eventually(t, func() bool {
+		reply, err := f.controller.Sync(t.Context(), request)
+
+		return err == nil && reply.Lease > 0 && len(reply.Positions) > 0
+	}, 10*time.Second, time.Millisecond)
+
+	f.log.mutex.Lock()
+	f.log.isolated = true
+	f.log.mutex.Unlock()
+	f.suspended.Store(int64(leaseTime))
+
+	reply, err := f.controller.Sync(t.Context(), request)
+	require.NoError(t, err)
+	assert.Zero(t, reply.Lease)
+	assert.Empty(t, reply.Positions)
+}
--- a/internal/managedcontroller/counters.go
+++ b/internal/managedcontroller/counters.go
@@ -99,7 +99,7 @@
 	}
 
 	// Like the other lease, it counts from the last confirmation of the leadership.
-	if duration := counterLease - now.Sub(l.confirmedAt); duration > 0 {
+	if duration := counterLease - l.sinceConfirmation(); duration > 0 {
 		reply.CounterLease = duration
 		l.counters.leases.Grant(now, lease.Holder{Name: request.Proxy, Instance: request.Instance}, request.CounterEpoch)
 	}
--- a/internal/managedcontroller/leadership.go
+++ b/internal/managedcontroller/leadership.go
@@ -86,7 +86,7 @@
 	// recordedTaken are the proxies that have called, or were taken from the record of seededFrom as present.
 	recordedTaken container.Set[string]
 	seededFrom    *topology.View
-	// confirmedAt is the time at which the last successful confirmation of the leadership began.
+	// confirmedAt is the boot time at which the last successful confirmation of the leadership began.
 	confirmedAt time.Time
 	// view is the view in force, and viewLog the same with the number of the last change of each entry.
 	view             managedcontrol.View
@@ -123,7 +123,7 @@
 	probes *probeQueue
 }
 
-// primaryPosition is a position of a primary and the time at which the probe for it was sent.
+// primaryPosition is a position of a primary and the boot time at which the probe for it was sent.
 type primaryPosition struct {
 	position position.Position
 	askedAt  time.Time
@@ -157,7 +157,7 @@
 // confirmPeriodically confirms with a quorum that this process still leads, until the leadership ends.
 func (l *leadership) confirmPeriodically() {
 	for l.ctx.Err() == nil {
-		began := time.Now()
+		began := l.controller.options.BootTime()
 		ctx, cancel := context.WithTimeout(l.ctx, confirmTimeout)
 		_, err := l.controller.options.Log.Confirm(ctx)
 
@@ -185,6 +185,12 @@
 	l.confirmedAt = began
 }
 
+// sinceConfirmation returns the time since the last confirmation of the leadership began, including suspensions of the VM:
+// another process may have led meanwhile. The caller holds the mutex.
+func (l *leadership) sinceConfirmation() time.Duration {
+	return l.controller.options.BootTime().Sub(l.confirmedAt)
+}
+
 // sleep waits for the delay. It returns false if the leadership ends first.
 func (l *leadership) sleep(delay time.Duration) bool {
 	return timer.Sleep(l.ctx, delay) == nil
@@ -392,7 +398,7 @@
 	defer l.mutex.Unlock()
 
 	// The lease counts from the last confirmation of the leadership.
-	reply.Lease, reply.Interval = leaseTime-time.Since(l.confirmedAt), syncInterval(l.activeProxies)
+	reply.Lease, reply.Interval = leaseTime-l.sinceConfirmation(), syncInterval(l.activeProxies)
 
 	if reply.Lease <= 0 {
 		if waited {
@@ -413,7 +419,7 @@
 		return nil, changed, nil
 	}
 
-	now := time.Now()
+	now := l.controller.options.BootTime()
 	reply.Positions = make(map[string]managedcontrol.ObservedPosition)
 
 	for group, latest := range l.positions {
--- a/internal/managedcontroller/scale_bench_test.go
+++ b/internal/managedcontroller/scale_bench_test.go
@@ -38,7 +38,8 @@
 
 	state := topology.NewState()
 	controller := &Controller{ctx: b.Context(), options: Options{
-		Log: &fakeLog{state: state, changed: make(chan struct{})}, State: state, Logger: slog.New(slog.DiscardHandler),
+		BootTime: time.Now,
+		Log:      &fakeLog{state: state, changed: make(chan struct{})}, State: state, Logger: slog.New(slog.DiscardHandler),
 		Metrics: metrics.New(), AnnounceInterval: time.Second,
 	}}
 	bench := &leaderBench{b: b, size: size, leader: newLeadership(controller, 7), now: time.Now()}
--- a/internal/managedcontroller/supervisor.go
+++ b/internal/managedcontroller/supervisor.go
@@ -119,7 +119,7 @@
 	evidence := promotion.Evidence{ProbeState: failover.Dead, Gone: !known}
 
 	if known {
-		asked := time.Now()
+		asked := s.leadership.controller.options.BootTime()
 		probed := s.probePrimary(primary)
 
 		if probed.primary {
