--- a/internal/managedproxy/conn.go
+++ b/internal/managedproxy/conn.go
@@ -105,8 +105,8 @@
 
 // run sends commands, of which all but the last set up the connection, and returns the answer to the last one, or the
 // first answer that is not Done. The setup commands are sent together and each of them runs, so that a transaction may be
-// open although a command before the one that opened it has failed. The last command is sent by itself, because it must not run unless all of the session
-// state is in place.
+// open although a command before the one that opened it has failed. The last command is sent by itself, because it must
+// not run unless all of the session state is in place.
 func (c *conn) run(deadline time.Time, commands ...Command) (Answer, error) {
 	if len(commands) > 1 {
 		answers, err := c.send(deadline, commands[:len(commands)-1]...)
