io/caller: wait for the result of the accepted packet in TestStartupPackets

The one packet that is accepted gives its result after the answer that the subtest has read; the test dropped only results that were there already, and then took the late one for that of the cancel request. A fault of the test; io/caller was not changed.

Change: the test waits for that result and requires that it is a connection's.

The new check is as strict: any other accepted packet makes it fail.

--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -220,9 +220,8 @@
 		})
 	}
 
-	for len(results) > 0 {
-		<-results
-	}
+	// Only the packet with a newer minor version was accepted. Its result comes after the answer that the test has read.
+	require.NotNil(t, (<-results).Conn)
 
 	conn, err := net.Dial("tcp", address)
 	require.NoError(t, err)
