managedproxy, manageddaemon: log what the end of a process cuts off

Logs each such statement with its request id, age, the age of its session and the time since the stop began, and the number of logins and of other proxies' statements in progress; counter cut_off_by_shutdown. A long statement shows by its age, a session that has just begun by the session's age, callers that keep coming by the time. No decision is changed.

Ruled out: timestamps of all statements in the log (200 lines a second at most are written).

--- a/internal/manageddaemon/proxy.go
+++ b/internal/manageddaemon/proxy.go
@@ -138,6 +138,7 @@
 	p.gateway.Close()
 	p.peers.Close()
 	p.clock.Close()
+	p.gateway.LogUnfinished()
 	p.options.Logger.Info("proxy ends")
 }
 
--- a/internal/managedproxy/gateway.go
+++ b/internal/managedproxy/gateway.go
@@ -65,14 +65,17 @@
 	// lease is the end of the lease, leaseExtended the time of its last extension, both as boot times.
 	lease         atomic.Pointer[time.Time]
 	leaseExtended atomic.Pointer[time.Time]
-	draining      atomic.Bool
 	lastSessionID atomic.Uint64
 	// incomingForwards is the number of statements of other proxies' callers in progress.
 	incomingForwards atomic.Int64
-	holderHealth     holderHealth
-	customerCounts   customerCounts
-	limits           *limiter
-	waits            waitingForwards
+	// loginsInProgress is the number of callers that are connected and have no session yet.
+	loginsInProgress atomic.Int64
+	// drainBegan is the time at which a planned stop began, or nil.
+	drainBegan     atomic.Pointer[time.Time]
+	holderHealth   holderHealth
+	customerCounts customerCounts
+	limits         *limiter
+	waits          waitingForwards
 
 	mutex   sync.Mutex
 	servers map[string]*server
@@ -121,18 +124,13 @@
 	return now.Before(*g.lease.Load())
 }
 
-// Draining reports whether a planned stop has begun.
-func (g *Gateway) Draining() bool {
-	return g.draining.Load()
-}
-
 // Ready reports whether the load balancer should send callers to this proxy: it has a configuration, hears from
 // control and is not stopping. A proxy that is cut off from control soon has to refuse reads that others can serve. If
 // no proxy is ready, the load balancer uses all of them.
 func (g *Gateway) Ready() bool {
 	heard := g.options.BootTime().Sub(*g.leaseExtended.Load()) < controlTimeout
 
-	return !g.draining.Load() && heard && g.view.Load().configuration != nil
+	return !g.Draining() && heard && g.view.Load().configuration != nil
 }
 
 // PrimaryReachability returns what the proxy reports to control about the primaries.
@@ -157,7 +155,12 @@
 	defer caller.Close()
 
 	session := newSession(g, caller)
-	if !session.login() {
+
+	g.loginsInProgress.Add(1)
+	accepted := session.login()
+	g.loginsInProgress.Add(-1)
+
+	if !accepted {
 		return
 	}
 
@@ -172,43 +175,6 @@
 	g.mutex.Unlock()
 }
 
-// Drain begins a planned stop: from now on Ready returns false.
-func (g *Gateway) Drain() {
-	g.draining.Store(true)
-}
-
-// CloseSessions ends the sessions outside a transaction. With all, it also ends those in a transaction, and rolls back
-// their transactions and those of other proxies' callers. It returns the number of sessions, transactions and
-// statements that are left.
-func (g *Gateway) CloseSessions(all bool) int {
-	if all {
-		g.rollbackIdleTransactions(time.Now(), true)
-	}
-
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-
-	for session := range g.sessions {
-		session.closeWhenIdle.Store(true)
-
-		if all {
-			session.closeNow.Store(true)
-		}
-
-		session.caller.Interrupt()
-	}
-
-	return len(g.sessions) + len(g.heldTransactions) + int(g.incomingForwards.Load())
-}
-
-// SessionCount returns the number of open sessions.
-func (g *Gateway) SessionCount() int {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-
-	return len(g.sessions)
-}
-
 // Close closes the connections to backend servers.
 func (g *Gateway) Close() {
 	g.stop()
@@ -239,7 +205,7 @@
 		server.connPool.closeUnused(now)
 		server.refreshCapacity(now)
 
-		if opening < firstConnectionsPerRound && !g.draining.Load() && server.connPool.reserveFirst() {
+		if opening < firstConnectionsPerRound && !g.Draining() && server.connPool.reserveFirst() {
 			opening++
 
 			go server.connPool.openReserved(now.Add(connectTimeout))
--- a/internal/managedproxy/session.go
+++ b/internal/managedproxy/session.go
@@ -23,9 +23,11 @@
 
 // session serves one caller. Its fields belong to its goroutine, except the atomic ones.
 type session struct {
-	gateway   *Gateway
-	caller    Caller
-	id        uint64
+	gateway *Gateway
+	caller  Caller
+	id      uint64
+	// began is the time at which the caller connected.
+	began     time.Time
 	database  string
 	identity  sessionIdentity
 	variables map[string]string
@@ -53,6 +55,8 @@
 	watch *forwardWatch
 	// candidates is a buffer for routing decisions.
 	candidates []route.Server
+	// running is the statement in progress, or nil. Only the goroutine of the session sets it.
+	running atomic.Pointer[runningStatement]
 	// closeWhenIdle ends the session once it is outside a transaction, closeNow also in a transaction.
 	closeWhenIdle atomic.Bool
 	closeNow      atomic.Bool
@@ -60,7 +64,7 @@
 
 func newSession(g *Gateway, caller Caller) *session {
 	return &session{
-		gateway: g, caller: caller, id: g.lastSessionID.Add(1),
+		gateway: g, caller: caller, id: g.lastSessionID.Add(1), began: time.Now(),
 		variables: make(map[string]string), prepared: make(map[string]*preparedStatement), attemptsLeft: maxAttempts,
 		token: rand.Uint64() | 1, watch: &forwardWatch{},
 	}
@@ -140,7 +144,12 @@
 
 			return
 		default:
-			if err := s.caller.Reply(s.serveStatement(statement)); err != nil {
+			s.running.Store(&runningStatement{statement.ID, time.Now()})
+
+			err := s.caller.Reply(s.serveStatement(statement))
+			s.running.Store(nil)
+
+			if err != nil {
 				s.gateway.options.Logger.Debug("answer could not be sent to the caller", "request", statement.ID, "error", err)
 
 				return
