managedproxy, manageddaemon: count logins as work of a planned stop

What callers saw: a statement that a server had received, and a connection closed without an answer, around the SIGTERM of the proxy. Whole processes with few callers show it on the former code: a read sent 2.524 s after SIGTERM was cut off at 2.526 s.

Cause: a session was registered after its login. When the last registered session ended, the drain took that for the end of all work, although a caller was logging in, or was accepted in the time that the process still took to end. That session was served until the process ended.

A caller is now registered when its connection is accepted, before its goroutine starts. The drain waits for logins, which get 0.5 s, and closes the listener before its last look; no caller can come after that.

Ruled out for that run: the time limit of the drain (5.1 s), and long statements (20 to 100 ms).

--- a/internal/manageddaemon/proxy.go
+++ b/internal/manageddaemon/proxy.go
@@ -115,8 +115,9 @@
 	return metrics.Handler(p.metrics.Registry)
 }
 
-// Run follows control until the context ends. It then drains the callers and returns.
-func (p *Proxy) Run(ctx context.Context) {
+// Run follows control until the context ends. It then drains the callers and returns. When there is nothing left to do, it
+// calls stopAccepting, which returns when the gateway has every caller that was accepted and no more are.
+func (p *Proxy) Run(ctx context.Context, stopAccepting func()) {
 	p.options.Logger.Info("proxy starts", "centre", p.options.Centre)
 
 	server := managedpeer.Serve(p.listener, p.options.Logger, p.gateway.Forward)
@@ -131,7 +132,7 @@
 	}()
 
 	<-ctx.Done()
-	p.drain()
+	p.drain(stopAccepting)
 	stop()
 	<-followed
 	server.Close()
@@ -247,20 +248,34 @@
 
 // drain waits for callers to leave and closes idle sessions. New callers may still come until the load balancer has
 // noticed that the proxy is not ready. Open transactions get half of the shutdown grace.
-func (p *Proxy) drain() {
+func (p *Proxy) drain(stopAccepting func()) {
 	began := time.Now()
 	p.options.Logger.Info("shutdown begins", "sessions", p.gateway.SessionCount())
 	p.gateway.Drain()
 
 	limit := time.Duration(drainShare * float64(p.options.ShutdownGrace))
+	accepting := true
 
 	for elapsed := time.Duration(0); elapsed < limit; elapsed = time.Since(began) {
 		if elapsed >= loadBalancerDelay && p.gateway.CloseSessions(elapsed >= p.options.ShutdownGrace/2) == 0 {
-			break
+			if !accepting {
+				break
+			}
+
+			// A caller may have been accepted since the last look.
+			stopAccepting()
+
+			accepting = false
+
+			continue
 		}
 
 		_ = timer.Sleep(context.Background(), closeIdleInterval) // The context never ends.
 	}
 
+	if accepting {
+		stopAccepting()
+	}
+
 	p.options.Logger.Info("draining of callers ended", "sessions", p.gateway.SessionCount(), "took", time.Since(began))
 }
--- a/internal/managedproxy/drain.go
+++ b/internal/managedproxy/drain.go
@@ -15,8 +15,11 @@
 	return g.drainBegan.Load() != nil
 }
 
+// loginTimeoutDraining bounds a login while the proxy closes sessions. Callers send theirs as soon as they are connected.
+const loginTimeoutDraining = 500 * time.Millisecond
+
 // CloseSessions ends the sessions outside a transaction. With all, it also ends those in a transaction, and rolls back
-// their transactions and those of other proxies' callers. It returns the number of sessions, transactions and
+// their transactions and those of other proxies' callers. It returns the number of logins, sessions, transactions and
 // statements that are left.
 func (g *Gateway) CloseSessions(all bool) int {
 	if all {
@@ -26,6 +29,12 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 
+	for login := range g.logins {
+		if time.Since(login.began) > loginTimeoutDraining {
+			login.caller.Interrupt()
+		}
+	}
+
 	for session := range g.sessions {
 		session.closeWhenIdle.Store(true)
 
@@ -36,7 +45,7 @@
 		session.caller.Interrupt()
 	}
 
-	return len(g.sessions) + len(g.heldTransactions) + int(g.incomingForwards.Load())
+	return len(g.logins) + len(g.sessions) + len(g.heldTransactions) + int(g.incomingForwards.Load())
 }
 
 // SessionCount returns the number of open sessions.
@@ -74,7 +83,7 @@
 		}
 	}
 
-	logins, forwards := g.loginsInProgress.Load(), g.incomingForwards.Load()
+	logins, forwards := len(g.logins), g.incomingForwards.Load()
 	if logins > 0 || forwards > 0 {
 		g.options.Logger.Warn("work cut off by the end of the process", "logins", logins, "forwardedStatements", forwards,
 			"heldTransactions", len(g.heldTransactions), "sinceDrain", sinceDrain)
--- a/internal/managedproxy/gateway.go
+++ b/internal/managedproxy/gateway.go
@@ -68,8 +68,6 @@
 	lastSessionID atomic.Uint64
 	// incomingForwards is the number of statements of other proxies' callers in progress.
 	incomingForwards atomic.Int64
-	// loginsInProgress is the number of callers that are connected and have no session yet.
-	loginsInProgress atomic.Int64
 	// drainBegan is the time at which a planned stop began, or nil.
 	drainBegan     atomic.Pointer[time.Time]
 	holderHealth   holderHealth
@@ -83,6 +81,8 @@
 	// capacities hold what the statements show about the servers of each group.
 	capacities map[string]*groupCapacity
 	sessions   map[*session]struct{}
+	// logins are the callers that are connected and have no session yet.
+	logins map[*session]struct{}
 	// heldTransactions are the open transactions of other proxies' callers.
 	heldTransactions map[uint64]*forwardedSession
 	viewChanged      chan struct{}
@@ -98,7 +98,7 @@
 
 	created := &Gateway{
 		options: options, budget: retry.NewBudget(retryShare, retry.DefaultBudgetWindow).WithMinRetries(retryFloor), statementNames: newStatementNames(),
-		servers: make(map[string]*server), tracks: make(map[string]*freshnessTrack), capacities: make(map[string]*groupCapacity), sessions: make(map[*session]struct{}),
+		servers: make(map[string]*server), tracks: make(map[string]*freshnessTrack), capacities: make(map[string]*groupCapacity), sessions: make(map[*session]struct{}), logins: make(map[*session]struct{}),
 		heldTransactions: make(map[uint64]*forwardedSession), viewChanged: make(chan struct{}),
 	}
 	created.limits = newLimiter(created)
@@ -150,29 +150,46 @@
 	return reports
 }
 
-// Serve runs a caller's session until it ends.
+// Accept begins to serve a caller and returns at once. From then on a planned stop takes the caller into account.
+func (g *Gateway) Accept(caller Caller) {
+	accepted := g.beginLogin(caller)
+
+	go accepted.serve()
+}
+
+// Serve serves a caller until its session ends.
 func (g *Gateway) Serve(caller Caller) {
-	defer caller.Close()
+	g.beginLogin(caller).serve()
+}
 
-	session := newSession(g, caller)
+func (g *Gateway) beginLogin(caller Caller) *session {
+	created := newSession(g, caller)
 
-	g.loginsInProgress.Add(1)
-	accepted := session.login()
-	g.loginsInProgress.Add(-1)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
 
-	if !accepted {
-		return
-	}
+	g.logins[created] = struct{}{}
+
+	return created
+}
 
+// endLogin makes a caller that has logged in one with a session, or forgets it.
+func (g *Gateway) endLogin(session *session, accepted bool) {
 	g.mutex.Lock()
-	g.sessions[session] = struct{}{}
-	g.mutex.Unlock()
+	defer g.mutex.Unlock()
+
+	delete(g.logins, session)
 
-	session.run()
+	if accepted {
+		g.sessions[session] = struct{}{}
+	}
+}
 
+func (g *Gateway) endSession(session *session) {
 	g.mutex.Lock()
+	defer g.mutex.Unlock()
+
 	delete(g.sessions, session)
-	g.mutex.Unlock()
 }
 
 // Close closes the connections to backend servers.
--- a/internal/managedproxy/gateway_test.go
+++ b/internal/managedproxy/gateway_test.go
@@ -40,6 +40,8 @@
 	// wrongState, if set, is the state that the server reports whatever it has.
 	wrongState    *State
 	ranStatements []string
+	// rollbacks counts the transactions that were rolled back.
+	rollbacks int
 	// ranInside are the texts of the statements that ran, or were to begin a transaction, while one was open on their
 	// connection.
 	ranInside []string
@@ -73,6 +75,22 @@
 	return &fakeConn{server: s, variables: map[string]string{}, prepared: map[string]bool{}}, nil
 }
 
+// setAnswer sets answerWith while the gateway runs.
+func (s *fakeServer) setAnswer(answerWith func(command Command) (Answer, error, bool)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.answerWith = answerWith
+}
+
+// rolledBack reports whether a transaction was rolled back.
+func (s *fakeServer) rolledBack() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	return s.rollbacks > 0
+}
+
 // Run implements Backend.
 func (c *fakeConn) Run(_ time.Time, commands ...Command) ([]Answer, error) {
 	c.server.mutex.Lock()
@@ -133,6 +151,7 @@
 		c.state = Open
 	case Rollback:
 		c.state = Idle
+		c.server.rollbacks++
 	case Read, Write, Execute, Commit:
 		return c.execute(command), nil
 	default:
@@ -313,7 +332,10 @@
 	rejected   error
 	interrupts chan struct{}
 	closed     chan struct{}
+	closeOnce  sync.Once
 	gone       atomic.Bool
+	// login, if not nil, delays the login until it is closed.
+	login chan struct{}
 }
 
 // connect opens a session of a caller without a key.
@@ -333,7 +355,17 @@
 }
 
 // Login implements Caller.
-func (c *client) Login(time.Time) (Login, error) { return Login{Database: c.database, Key: c.key}, nil }
+func (c *client) Login(time.Time) (Login, error) {
+	if c.login != nil {
+		select {
+		case <-c.login:
+		case <-c.interrupts:
+			return Login{}, ErrInterrupted
+		}
+	}
+
+	return Login{Database: c.database, Key: c.key}, nil
+}
 
 // AcceptSession implements Caller.
 func (c *client) AcceptSession() error { return nil }
@@ -382,7 +414,7 @@
 func (c *client) Gone() bool { return c.gone.Load() }
 
 // Close implements Caller.
-func (c *client) Close() { close(c.closed) }
+func (c *client) Close() { c.closeOnce.Do(func() { close(c.closed) }) }
 
 func (c *client) ask(kind Kind, text string) Reply {
 	return c.send(Statement{ID: "1", Kind: kind, Text: text, Writes: kind == Write})
--- a/internal/managedproxy/session.go
+++ b/internal/managedproxy/session.go
@@ -70,6 +70,19 @@
 	}
 }
 
+// serve runs the session from the login to its end.
+func (s *session) serve() {
+	defer s.caller.Close()
+
+	accepted := s.login()
+	s.gateway.endLogin(s, accepted)
+
+	if accepted {
+		s.run()
+		s.gateway.endSession(s)
+	}
+}
+
 // login reads the login and accepts the session. It returns false if there is no session.
 func (s *session) login() bool {
 	login, err := s.caller.Login(time.Now().Add(loginTimeout))
