core/drain, managedproxy, manageddaemon: end a planned stop in phases

What callers saw: when callers came back to a stopping proxy, statements that a server had received got no answer; the connection closed 5.15 s after SIGTERM. Statements of 1 ms were cut off as well as those that took seconds.

Cause: nothing ended what the proxy accepted. It took callers and statements until the drain ran into its limit, and ended the process with whatever ran then. New sessions were accepted and closed as idle at the next look, 0.05 s later, with their first statement on its way.

core/drain decides the phases by the time since the stop began and the work left: everything is accepted until the load balancer has noticed (2.3 s); then callers that come all the same are still served, but sessions end after their next operation; from half of the grace on, logins and other proxies' statements are refused as not run, idle sessions end, and transactions are rolled back, which their callers are told by the answer to the next statement; at 0.85 of the grace, statements that still run are answered: rolled back where the transaction is certainly undone, else with an unknown outcome. With a short grace the phases shrink; before, one below 2.7 s closed no session at all.

Ruled out as the cause: statements that take long. They were cut off as well, but so were those of a few milliseconds.

--- a/internal/manageddaemon/proxy.go
+++ b/internal/manageddaemon/proxy.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"almondgrade/core/drain"
 	"almondgrade/core/quota"
 	"almondgrade/core/timer"
 	"almondgrade/internal/managedproxy"
@@ -31,10 +32,8 @@
 	// loadBalancerDelay is the time after which a proxy that reports not ready gets no new callers: two probes of the
 	// load balancer, a second each, and some delay.
 	loadBalancerDelay = 2300 * time.Millisecond
-	// closeIdleInterval is the time between two searches for idle sessions while a proxy shuts down.
-	closeIdleInterval = 50 * time.Millisecond
-	// drainShare is the fraction of the shutdown grace within which callers must have left.
-	drainShare = 0.85
+	// drainInterval is the time between two looks at what is left to do while a proxy shuts down.
+	drainInterval = 50 * time.Millisecond
 	// gcPercent makes the garbage collector keep the heap small, and softMemoryShare is the fraction of the memory limit
 	// above which the collector runs more often.
 	gcPercent       = 50
@@ -246,18 +245,19 @@
 	return append(p.options.ControlAddresses(), p.gateway.ControlAddresses()...)
 }
 
-// drain waits for callers to leave and closes idle sessions. New callers may still come until the load balancer has
-// noticed that the proxy is not ready. Open transactions get half of the shutdown grace.
+// drain ends the work of the callers as package drain schedules it.
 func (p *Proxy) drain(stopAccepting func()) {
 	began := time.Now()
-	p.options.Logger.Info("shutdown begins", "sessions", p.gateway.SessionCount())
+	schedule := drain.NewSchedule(p.options.ShutdownGrace, loadBalancerDelay)
+	phase, accepting := drain.Serving, true
+
 	p.gateway.Drain()
+	p.logDrain("shutdown begins", phase, began)
 
-	limit := time.Duration(drainShare * float64(p.options.ShutdownGrace))
-	accepting := true
+	for {
+		next := schedule.Phase(time.Since(began), p.gateway.WorkLeft().Total())
 
-	for elapsed := time.Duration(0); elapsed < limit; elapsed = time.Since(began) {
-		if elapsed >= loadBalancerDelay && p.gateway.CloseSessions(elapsed >= p.options.ShutdownGrace/2) == 0 {
+		if next == drain.Ended {
 			if !accepting {
 				break
 			}
@@ -270,12 +270,21 @@
 			continue
 		}
 
-		_ = timer.Sleep(context.Background(), closeIdleInterval) // The context never ends.
-	}
+		if next != phase {
+			p.logDrain("shutdown goes on", next, began)
+
+			phase = next
+		}
 
-	if accepting {
-		stopAccepting()
+		p.gateway.ContinueDrain(phase)
+		_ = timer.Sleep(context.Background(), drainInterval) // The context never ends.
 	}
 
-	p.options.Logger.Info("draining of callers ended", "sessions", p.gateway.SessionCount(), "took", time.Since(began))
+	p.logDrain("draining of callers ended", drain.Ended, began)
+}
+
+func (p *Proxy) logDrain(event string, phase drain.Phase, began time.Time) {
+	left := p.gateway.WorkLeft()
+	p.options.Logger.Info(event, "phase", phase.String(), "sessions", left.Sessions, "logins", left.Logins, "forwardedStatements",
+		left.ForwardedStatements, "heldTransactions", left.HeldTransactions, "elapsed", time.Since(began))
 }
--- a/internal/managedproxy/caller.go
+++ b/internal/managedproxy/caller.go
@@ -95,5 +95,6 @@
 	// without waiting. A request that was not read yet hides this. It is not called at the same time as the other
 	// methods, except Interrupt.
 	Gone() bool
+	// Close may be called more than once and by any goroutine.
 	Close()
 }
--- a/internal/managedproxy/gateway.go
+++ b/internal/managedproxy/gateway.go
@@ -68,8 +68,9 @@
 	lastSessionID atomic.Uint64
 	// incomingForwards is the number of statements of other proxies' callers in progress.
 	incomingForwards atomic.Int64
-	// drainBegan is the time at which a planned stop began, or nil.
+	// drainBegan is the time at which a planned stop began, or nil. drainPhase is its drain.Phase.
 	drainBegan     atomic.Pointer[time.Time]
+	drainPhase     atomic.Uint32
 	holderHealth   holderHealth
 	customerCounts customerCounts
 	limits         *limiter
--- a/internal/managedproxy/gateway_test.go
+++ b/internal/managedproxy/gateway_test.go
@@ -704,25 +704,6 @@
 	assert.True(t, f.gateway.Ready())
 }
 
-// Guards against a planned stop that breaks off a transaction or leaves idle sessions open.
-func TestCloseIdle(t *testing.T) {
-	t.Parallel()
-
-	f := newFixture(t)
-	idle, busy := f.connect("latest"), f.connect("latest")
-	require.NoError(t, idle.ask(Read, "READ 1").Err)
-	busy.ask(Begin, "BEGIN")
-
-	f.gateway.Drain()
-	assert.False(t, f.gateway.Ready())
-	f.gateway.CloseSessions(false)
-	<-idle.closed
-
-	require.NoError(t, busy.ask(Write, "WRITE 1 a").Err)
-	require.NoError(t, busy.ask(Commit, "COMMIT").Err)
-	<-busy.closed
-}
-
 // Guards against a caller that is told to retry a statement that may have run, or that can never succeed.
 func TestRetryAfter(t *testing.T) {
 	t.Parallel()
--- a/internal/managedproxy/session.go
+++ b/internal/managedproxy/session.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"almondgrade/core/drain"
 	"almondgrade/core/placement"
 	"almondgrade/core/position"
 	"almondgrade/core/result"
@@ -55,11 +56,13 @@
 	watch *forwardWatch
 	// candidates is a buffer for routing decisions.
 	candidates []route.Server
-	// running is the statement in progress, or nil. Only the goroutine of the session sets it.
+	// running is the statement in progress, or nil. Who replaces it by nil sends the answer: the goroutine of the session,
+	// or a planned stop that can't wait any longer.
 	running atomic.Pointer[runningStatement]
-	// closeWhenIdle ends the session once it is outside a transaction, closeNow also in a transaction.
-	closeWhenIdle atomic.Bool
-	closeNow      atomic.Bool
+	// hasReceived is true once a statement has been received.
+	hasReceived atomic.Bool
+	// interruptedIn is the last phase of a planned stop in which the session was interrupted. The gateway's mutex protects it.
+	interruptedIn drain.Phase
 }
 
 func newSession(g *Gateway, caller Caller) *session {
@@ -98,6 +101,10 @@
 		err = s.identify(pool)
 	}
 
+	if err == nil && s.gateway.refusesNewWork() {
+		err = errShuttingDown
+	}
+
 	if err != nil {
 		s.gateway.logRefusal(Statement{}, s.database, err, 0)
 		s.caller.RejectSession(err)
@@ -142,6 +149,8 @@
 	for {
 		statement, err := s.caller.Next(s.idleDeadline())
 
+		var answered *Statement
+
 		switch {
 		case errors.Is(err, ErrInterrupted):
 		case errors.Is(err, ErrIdleTimeout):
@@ -157,19 +166,29 @@
 
 			return
 		default:
-			s.running.Store(&runningStatement{statement.ID, time.Now()})
+			running := &runningStatement{id: statement.ID, kind: statement.Kind, received: time.Now(), inTransaction: s.tx.phase != txNone}
+			s.hasReceived.Store(true)
+			s.running.Store(running)
 
-			err := s.caller.Reply(s.serveStatement(statement))
-			s.running.Store(nil)
+			reply := s.serveStatement(statement)
+			if !s.running.CompareAndSwap(running, nil) {
+				return // A planned stop has answered the statement.
+			}
 
-			if err != nil {
+			if err := s.caller.Reply(reply); err != nil {
 				s.gateway.options.Logger.Debug("answer could not be sent to the caller", "request", statement.ID, "error", err)
 
 				return
 			}
+
+			answered = &statement
 		}
 
-		if (s.closeWhenIdle.Load() || s.identity.ended.Load()) && s.tx.phase == txNone || s.closeNow.Load() {
+		if s.identity.ended.Load() && s.tx.phase == txNone {
+			return
+		}
+
+		if s.endsForStop(answered) {
 			return
 		}
 	}
@@ -188,6 +207,10 @@
 
 // serveStatement runs a statement and returns the reply.
 func (s *session) serveStatement(statement Statement) Reply {
+	if s.tx.stopped {
+		return s.serveStopped(statement)
+	}
+
 	switch statement.Kind {
 	case Malformed:
 		return s.refuse(statement, result.New(result.Protocol, "%s", statement.Text))
--- a/internal/managedproxy/statement.go
+++ b/internal/managedproxy/statement.go
@@ -62,6 +62,11 @@
 	return k == Status || k == Pause || k == StepDown
 }
 
+// preparesSession reports whether a caller sends the statement only for those that follow it.
+func (k Kind) preparesSession() bool {
+	return k == Set || k == Prepare || k == Deallocate
+}
+
 // State is the state of a session or a connection.
 type State uint8
 
--- a/internal/managedproxy/transaction.go
+++ b/internal/managedproxy/transaction.go
@@ -30,6 +30,8 @@
 	server     *server
 	pool       topology.Pool
 	hasWritten bool
+	// stopped is true if a planned stop has rolled the transaction back and the caller has not been told yet.
+	stopped bool
 	// holder is the other proxy that keeps the transaction, under id; nil if this proxy keeps it.
 	holder *placement.Proxy
 	id     uint64
