managedproxy, platform: tell a caller why its session ends before closing it

What callers saw: a proxy that stopped closed sessions while a statement of the caller was on its way. The statement was never read, but its caller could not know that; a single write or a commit is then lost to the caller.

Cause: the proxy closed the connection on its own. Whatever it checks before, a statement may have been sent meanwhile.

The proxy now sends ERROR BUSY first and closes when the caller has closed its side, or after 0.3 s. A caller that waits for nothing closes its session on any message, as the protocol says. A caller that has sent a statement takes the error for its answer; the proxy completes that with READY and does not run the statement, so BUSY is true.

--- a/internal/managedproxy/drain.go
+++ b/internal/managedproxy/drain.go
@@ -14,6 +14,9 @@
 // caller that logs in has a statement to send.
 const firstStatementTimeout = 500 * time.Millisecond
 
+// endTimeout is the time that a caller has to close its connection after it was told that its session ends.
+const endTimeout = 300 * time.Millisecond
+
 // Drain begins a planned stop: from now on Ready returns false.
 func (g *Gateway) Drain() {
 	now := time.Now()
@@ -67,7 +70,7 @@
 	}
 
 	for session := range g.sessions {
-		if session.interruptedIn < phase && (phase >= drain.Answering || !session.awaitsFirstStatement(now)) {
+		if session.interruptedIn < phase && !session.ending.Load() && (phase >= drain.Answering || !session.awaitsFirstStatement(now)) {
 			session.interruptedIn = phase
 			session.caller.Interrupt()
 		}
@@ -103,6 +106,12 @@
 	return false
 }
 
+// endForStop tells the caller that the session ends.
+func (s *session) endForStop() {
+	s.ending.Store(true)
+	s.caller.EndSession(errShuttingDown, time.Now().Add(endTimeout))
+}
+
 // serveStopped answers a statement of a transaction that a planned stop has rolled back.
 func (s *session) serveStopped(statement Statement) Reply {
 	if statement.Kind == Rollback {
@@ -137,6 +146,8 @@
 		go func() {
 			if err := session.caller.Reply(reply); err != nil {
 				g.options.Logger.Info("answer could not be sent to the caller", "request", running.id, "error", err)
+			} else {
+				session.endForStop()
 			}
 
 			session.caller.Close()
--- a/internal/managedproxy/drain_test.go
+++ b/internal/managedproxy/drain_test.go
@@ -29,8 +29,10 @@
 	require.NoError(t, single.ask(Read, "READ 1").Err, "callers still come while the load balancer does not know of the stop")
 
 	f.gateway.ContinueDrain(drain.Closing)
+	require.NoError(t, single.send(Statement{Kind: Set, Name: "zone", Value: "north"}).Err, "an operation follows")
 	require.NoError(t, single.ask(Read, "READ 1").Err)
 	<-single.closed
+	assert.Equal(t, result.Draining, result.CodeOf(*single.ended.Load()))
 
 	require.NoError(t, busy.ask(Write, "WRITE 1 a").Err)
 	require.NoError(t, busy.ask(Commit, "COMMIT").Err)
--- a/internal/managedproxy/gateway_test.go
+++ b/internal/managedproxy/gateway_test.go
@@ -334,6 +334,8 @@
 	closed     chan struct{}
 	closeOnce  sync.Once
 	gone       atomic.Bool
+	// ended is the reason for which the session was ended, or nil.
+	ended atomic.Pointer[error]
 	// login, if not nil, delays the login until it is closed.
 	login chan struct{}
 }
@@ -402,6 +404,9 @@
 	return nil
 }
 
+// EndSession implements Caller.
+func (c *client) EndSession(reason error, _ time.Time) { c.ended.Store(&reason) }
+
 // Interrupt implements Caller.
 func (c *client) Interrupt() {
 	select {
--- a/internal/managedproxy/session.go
+++ b/internal/managedproxy/session.go
@@ -61,6 +61,8 @@
 	running atomic.Pointer[runningStatement]
 	// hasReceived is true once a statement has been received.
 	hasReceived atomic.Bool
+	// ending is true once the caller has been told that the session ends.
+	ending atomic.Bool
 	// interruptedIn is the last phase of a planned stop in which the session was interrupted. The gateway's mutex protects it.
 	interruptedIn drain.Phase
 }
@@ -189,6 +191,8 @@
 		}
 
 		if s.endsForStop(answered) {
+			s.endForStop()
+
 			return
 		}
 	}
