internal/logging: keep room for warnings beside a flood of routine lines

A stopping proxy whose callers came back logged each refusal; the lines that tell of the stop and of the work that it cuts off were dropped with the rest (200 lines a second at most). Found in the logs of the whole-process test of planned stops: the line at the end of the drain was missing in both proxies.

Lines above INFO keep 40 of the 200 lines a second and of the queue for themselves. Ruled out: a higher rate, which costs a small VM more than its requests. TestBoundedKeepsRoomForWarnings fails without the change in both formats and passes with it.

--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -12,6 +13,11 @@
 	maxQueuedLines = 1024
 	// maxLinesPerSecond bounds the rate of lines. More of them would cost a small VM more than its requests.
 	maxLinesPerSecond = 200
+	// reservedLinesPerSecond is the part of maxLinesPerSecond, and of the lines that may wait, that lines above level INFO
+	// keep for themselves. Otherwise refused requests under load displace the lines that tell the cause.
+	reservedLinesPerSecond = 40
+	// levelPrefixBytes is the length of the beginning of a line that holds its level.
+	levelPrefixBytes = 80
 )
 
 // Bounded is a writer that never blocks. It drops lines that exceed a rate or arrive faster than they can be written, and
@@ -53,14 +59,27 @@
 		b.reportDropped()
 	}
 
-	b.linesThisSecond++
-	if b.linesThisSecond > maxLinesPerSecond || !b.enqueue(append([]byte(nil), line...)) {
+	limit, queued := maxLinesPerSecond, maxQueuedLines
+	if isRoutine(line) {
+		limit, queued = limit-reservedLinesPerSecond, queued-reservedLinesPerSecond
+	}
+
+	if b.linesThisSecond >= limit || len(b.lines) >= queued || !b.enqueue(append([]byte(nil), line...)) {
 		b.droppedLines++
+	} else {
+		b.linesThisSecond++
 	}
 
 	return len(line), nil
 }
 
+// isRoutine reports whether a line has level INFO or a lower one, in either format of package logging.
+func isRoutine(line []byte) bool {
+	start := line[:min(len(line), levelPrefixBytes)]
+
+	return !bytes.Contains(start, []byte("WARN")) && !bytes.Contains(start, []byte("ERROR"))
+}
+
 // reportDropped queues a line with the number of dropped lines, if there are any. The mutex is held.
 func (b *Bounded) reportDropped() {
 	if b.droppedLines > 0 && b.enqueue(fmt.Appendf(nil, `{"level":"WARN","msg":"log lines dropped","count":%d}`+"\n", b.droppedLines)) {
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"almondgrade/core/settings"
 	"almondgrade/internal/logging"
 )
 
@@ -54,3 +55,29 @@
 	assert.Positive(t, written)
 	assert.Contains(t, to.String(), fmt.Sprintf(`"msg":"log lines dropped","count":%d`, lines-written))
 }
+
+// Guards against a flood of routine lines that displaces the warnings which tell its cause.
+func TestBoundedKeepsRoomForWarnings(t *testing.T) {
+	t.Parallel()
+
+	for _, format := range []string{"json", "text"} {
+		t.Run(format, func(t *testing.T) {
+			t.Parallel()
+
+			to := &blockedWriter{free: make(chan struct{})}
+			bounded := logging.NewBounded(to)
+			logger, _ := logging.New(settings.Log{Format: format}, bounded)
+
+			for range 5000 {
+				logger.Info("request refused")
+			}
+
+			logger.Warn("work cut off by the end of the process")
+			logger.Error("process failed")
+			close(to.free)
+			bounded.Close()
+			assert.Contains(t, to.String(), "work cut off")
+			assert.Contains(t, to.String(), "process failed")
+		})
+	}
+}
