managedproxy, platform: log the statements that are refused at the end of a session

A statement that crosses the end of its session is refused as not run, but neither a counter nor a log line told an operator which one. Logins that a stopping proxy refuses are only counted: callers that come back displaced the other lines of the log.

Ruled out: a line for each refused login, which is what filled the log.

--- a/internal/managedproxy/caller.go
+++ b/internal/managedproxy/caller.go
@@ -89,8 +89,9 @@
 	Next(deadline time.Time) (Statement, error)
 	Reply(reply Reply) error
 	// EndSession tells a caller that waits for no answer why its session ends, and returns when the caller has closed the
-	// connection, or at the deadline. A statement that was on its way is not run, and its answer is the reason.
-	EndSession(reason error, deadline time.Time)
+	// connection, or at the deadline. A statement that was on its way is not run, and its answer is the reason. The IDs of
+	// such statements are returned.
+	EndSession(reason error, deadline time.Time) (refused []string)
 	// Interrupt makes a blocked Next return ErrInterrupted, or the next call that would block. It may be called by any
 	// goroutine.
 	Interrupt()
--- a/internal/managedproxy/drain.go
+++ b/internal/managedproxy/drain.go
@@ -109,7 +109,10 @@
 // endForStop tells the caller that the session ends.
 func (s *session) endForStop() {
 	s.ending.Store(true)
-	s.caller.EndSession(errShuttingDown, time.Now().Add(endTimeout))
+
+	for _, id := range s.caller.EndSession(errShuttingDown, time.Now().Add(endTimeout)) {
+		s.gateway.logRefusal(Statement{ID: id}, s.database, errShuttingDown, 0)
+	}
 }
 
 // serveStopped answers a statement of a transaction that a planned stop has rolled back.
--- a/internal/managedproxy/gateway_test.go
+++ b/internal/managedproxy/gateway_test.go
@@ -405,7 +405,11 @@
 }
 
 // EndSession implements Caller.
-func (c *client) EndSession(reason error, _ time.Time) { c.ended.Store(&reason) }
+func (c *client) EndSession(reason error, _ time.Time) []string {
+	c.ended.Store(&reason)
+
+	return nil
+}
 
 // Interrupt implements Caller.
 func (c *client) Interrupt() {
--- a/internal/managedproxy/session.go
+++ b/internal/managedproxy/session.go
@@ -104,7 +104,11 @@
 	}
 
 	if err == nil && s.gateway.refusesNewWork() {
-		err = errShuttingDown
+		// Callers may come back many times a second, so these refusals are only counted.
+		s.gateway.options.Metrics.Count(result.Draining)
+		s.caller.RejectSession(errShuttingDown)
+
+		return false
 	}
 
 	if err != nil {
