managedproxy: tell callers of a withdrawn key why their session ends

The cause that a planned stop showed, a connection that the proxy closes while a statement is on its way, acts as well when a key is withdrawn: idle sessions of the key were closed without a word. They now end like those of a stopping proxy, with the error that a statement of the key gets; a statement that crosses it gets it as its answer and does not run.

Ruled out: sessions in a transaction; they end after an answer or their grace. TestCallersOfWithdrawnKeysAreTold failed before in both cases (idle session, idle transaction after its grace) and passes; TestWithdrawnKeyStaysWithdrawn (whole processes) passes.

--- a/internal/managedproxy/drain.go
+++ b/internal/managedproxy/drain.go
@@ -14,9 +14,6 @@
 // caller that logs in has a statement to send.
 const firstStatementTimeout = 500 * time.Millisecond
 
-// endTimeout is the time that a caller has to close its connection after it was told that its session ends.
-const endTimeout = 300 * time.Millisecond
-
 // Drain begins a planned stop: from now on Ready returns false.
 func (g *Gateway) Drain() {
 	now := time.Now()
@@ -106,15 +103,6 @@
 	return false
 }
 
-// endForStop tells the caller that the session ends.
-func (s *session) endForStop() {
-	s.ending.Store(true)
-
-	for _, id := range s.caller.EndSession(errShuttingDown, time.Now().Add(endTimeout)) {
-		s.gateway.logRefusal(Statement{ID: id}, s.database, errShuttingDown, 0)
-	}
-}
-
 // serveStopped answers a statement of a transaction that a planned stop has rolled back.
 func (s *session) serveStopped(statement Statement) Reply {
 	if statement.Kind == Rollback {
@@ -150,7 +138,7 @@
 			if err := session.caller.Reply(reply); err != nil {
 				g.options.Logger.Info("answer could not be sent to the caller", "request", running.id, "error", err)
 			} else {
-				session.endForStop()
+				session.end(errShuttingDown)
 			}
 
 			session.caller.Close()
--- a/internal/managedproxy/identity_test.go
+++ b/internal/managedproxy/identity_test.go
@@ -101,6 +101,38 @@
 	assert.Equal(t, result.Authentication, result.CodeOf(late.rejected))
 }
 
+// Guards against a statement without an answer that was on its way when the session of a withdrawn key ended.
+func TestCallersOfWithdrawnKeysAreTold(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		name          string
+		inTransaction bool
+	}{{"idle session", false}, {"idle transaction after its grace", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFixture(t)
+			f.customers = customersWithKeys(map[string]string{"ada": "key-a"})
+			f.applyConfiguration(2)
+
+			session := f.connectWithKey("latest", "key-a")
+			f.require.NoError(session.ask(Read, "READ x").Err)
+
+			if test.inTransaction {
+				f.require.NoError(session.ask(Begin, "BEGIN").Err)
+				f.require.NoError(session.ask(Write, "WRITE x").Err)
+			}
+
+			f.customers = customersWithKeys(map[string]string{"bea": "key-b"})
+			f.applyConfiguration(3)
+			<-session.closed
+			f.require.NotNil(session.ended.Load(), "the connection was closed without a word")
+			assert.Equal(t, result.Authentication, result.CodeOf(*session.ended.Load()))
+		})
+	}
+}
+
 // Guards against a statement that runs on a holder which already knows that the key was withdrawn.
 func TestHolderRefusesWithdrawnKeys(t *testing.T) {
 	t.Parallel()
--- a/internal/managedproxy/session.go
+++ b/internal/managedproxy/session.go
@@ -163,6 +163,8 @@
 			s.rollbackIdle()
 
 			if s.identity.ended.Load() {
+				s.end(errKeyWithdrawn)
+
 				return
 			}
 		case err != nil:
@@ -191,17 +193,32 @@
 		}
 
 		if s.identity.ended.Load() && s.tx.phase == txNone {
+			s.end(errKeyWithdrawn)
+
 			return
 		}
 
 		if s.endsForStop(answered) {
-			s.endForStop()
+			s.end(errShuttingDown)
 
 			return
 		}
 	}
 }
 
+// endTimeout is the time that a caller has to close its connection after it was told that its session ends.
+const endTimeout = 300 * time.Millisecond
+
+// end tells the caller why its session ends, and waits until it has closed its connection. A statement that was on its way
+// is refused.
+func (s *session) end(reason error) {
+	s.ending.Store(true)
+
+	for _, id := range s.caller.EndSession(reason, time.Now().Add(endTimeout)) {
+		s.gateway.logRefusal(Statement{ID: id}, s.database, reason, 0)
+	}
+}
+
 // idleDeadline returns the time at which an open transaction that gets no statement is rolled back, or at which the
 // session ends because its key was withdrawn.
 func (s *session) idleDeadline() time.Time {
