managedproxy: leave the end of a session to the planned stop that answers its statement

What callers saw: a statement that ended by itself just after a planned stop had taken over its answer (0.85 of the grace) could get no answer. The session's goroutine closed the connection and removed the session while the answer, or the end of the session, was still being sent; with no other work left, the process could end too.

Seen in TestPlannedStopAnswersStatementThatEndsMeanwhile with an answer that takes 0.2 s to send: the connection was closed before the answer, and WorkLeft was zero. The goroutine now leaves both to answerRunning; the test passes, and the tests of internal/managedproxy pass in 2 runs with -race. How often callers met it is not known.

--- a/internal/managedproxy/session.go
+++ b/internal/managedproxy/session.go
@@ -63,6 +63,8 @@
 	hasReceived atomic.Bool
 	// ending is true once the caller has been told that the session ends.
 	ending atomic.Bool
+	// answeredByStop is true once a planned stop has answered a statement. It then also ends the session.
+	answeredByStop bool
 	// interruptedIn is the last phase of a planned stop in which the session was interrupted. The gateway's mutex protects it.
 	interruptedIn drain.Phase
 }
@@ -77,15 +79,19 @@
 
 // serve runs the session from the login to its end.
 func (s *session) serve() {
-	defer s.caller.Close()
-
 	accepted := s.login()
 	s.gateway.endLogin(s, accepted)
 
 	if accepted {
 		s.run()
-		s.gateway.endSession(s)
 	}
+
+	if s.answeredByStop {
+		return
+	}
+
+	s.gateway.endSession(s)
+	s.caller.Close()
 }
 
 // login reads the login and accepts the session. It returns false if there is no session.
@@ -174,7 +180,9 @@
 
 			reply := s.serveStatement(statement)
 			if !s.running.CompareAndSwap(running, nil) {
-				return // A planned stop has answered the statement.
+				s.answeredByStop = true
+
+				return
 			}
 
 			if err := s.caller.Reply(reply); err != nil {
