managedproxy, manageddaemon: decline statements of others once a planned stop has found no work left

What other proxies saw: a holder accepted a statement after its last look at the work that is left, and its end cut that off; a write then has an unknown outcome and is not repeated. The phase of a stop that ends early stays "serving", so nothing declined it.

The proxy now declines from the moment at which it stops to accept callers, and then looks once more, so that what began before is waited for.

How often that happens between whole processes was not measured.

--- a/internal/manageddaemon/proxy.go
+++ b/internal/manageddaemon/proxy.go
@@ -262,8 +262,9 @@
 				break
 			}
 
-			// A caller may have been accepted since the last look.
+			// A caller or a statement of another proxy may have been accepted since the last look.
 			stopAccepting()
+			p.gateway.DeclineForwards()
 
 			accepting = false
 
--- a/internal/managedproxy/drain.go
+++ b/internal/managedproxy/drain.go
@@ -156,6 +156,12 @@
 	}
 }
 
+// DeclineForwards makes the gateway decline the statements that other proxies send from now on. Those that have begun, and
+// their transactions, remain work in progress.
+func (g *Gateway) DeclineForwards() {
+	g.declinesForwards.Store(true)
+}
+
 // DrainWork is the work that a planned stop waits for.
 type DrainWork struct {
 	// Logins is the number of callers without a session, Sessions that of those with one.
--- a/internal/managedproxy/forward.go
+++ b/internal/managedproxy/forward.go
@@ -163,7 +163,7 @@
 	g.incomingForwards.Add(1)
 	defer g.incomingForwards.Add(-1)
 
-	if request.isFirst() && (g.refusesNewWork() || g.view.Load().holders[request.Pool.Group].mustForward()) {
+	if request.isFirst() && (g.refusesNewWork() || g.declinesForwards.Load() || g.view.Load().holders[request.Pool.Group].mustForward()) {
 		g.count("forward_declined")
 
 		return &ForwardReply{Declined: true, NotRun: true}
--- a/internal/managedproxy/gateway.go
+++ b/internal/managedproxy/gateway.go
@@ -68,6 +68,8 @@
 	lastSessionID atomic.Uint64
 	// incomingForwards is the number of statements of other proxies' callers in progress.
 	incomingForwards atomic.Int64
+	// declinesForwards is true once a planned stop has found no work left.
+	declinesForwards atomic.Bool
 	// drainBegan is the time at which a planned stop began, or nil. drainPhase is its drain.Phase.
 	drainBegan     atomic.Pointer[time.Time]
 	drainPhase     atomic.Uint32
