managedproxy: tell a caller whose key was withdrawn why its session ends

What callers saw: the proxy closed the session of a withdrawn key, or rolled its transaction back and closed it, while a statement was on its way. The caller could not know that its write or commit had not run.

Cause: the connection was closed without a message, as planned stops did before. The session now ends the same way: a statement that was on its way gets AUTHFAIL, as one that is read a moment later does, or ABORTED if its transaction was rolled back.

Seen in TestWithdrawnKeyIsTheAnswerToAStatementOnItsWay, which fails without the change in both cases. The tests of internal/managedproxy (-race) and the tests of withdrawn keys in platform pass, one run each.

--- a/internal/managedproxy/drain.go
+++ b/internal/managedproxy/drain.go
@@ -106,10 +106,10 @@
 	return false
 }
 
-// endForStop tells the caller that the session ends.
-func (s *session) endForStop() {
+// end tells the caller why the session ends.
+func (s *session) end(reason error) {
 	s.ending.Store(true)
-	s.caller.EndSession(errShuttingDown, time.Now().Add(endTimeout))
+	s.caller.EndSession(reason, time.Now().Add(endTimeout))
 }
 
 // serveStopped answers a statement of a transaction that a planned stop has rolled back.
@@ -147,7 +147,7 @@
 			if err := session.caller.Reply(reply); err != nil {
 				g.options.Logger.Info("answer could not be sent to the caller", "request", running.id, "error", err)
 			} else {
-				session.endForStop()
+				session.end(errShuttingDown)
 			}
 
 			session.caller.Close()
--- a/internal/managedproxy/session.go
+++ b/internal/managedproxy/session.go
@@ -165,6 +165,8 @@
 			s.rollbackIdle()
 
 			if s.identity.ended.Load() {
+				s.end(&rolledBackError{errKeyWithdrawn})
+
 				return
 			}
 		case err != nil:
@@ -195,11 +197,13 @@
 		}
 
 		if s.identity.ended.Load() && s.tx.phase == txNone {
+			s.end(errKeyWithdrawn)
+
 			return
 		}
 
 		if s.endsForStop(answered) {
-			s.endForStop()
+			s.end(errShuttingDown)
 
 			return
 		}
