--- /dev/null
+++ b/io/managedpeer/close_test.go
@@ -0,0 +1,133 @@
+package managedpeer_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondgrade/io/managedpeer"
+)
+
+// awaitRefused waits until a server that is closing accepts no connections.
+func awaitRefused(t *testing.T, address netip.AddrPort) {
+	t.Helper()
+
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", address.String())
+		if err == nil {
+			_ = conn.Close()
+		}
+
+		return err != nil
+	}, 5*time.Second, time.Millisecond)
+}
+
+// Guards against replies that are lost because the server closes the connections before it has written them.
+func TestCloseAnswersCallsInProgress(t *testing.T) {
+	t.Parallel()
+
+	const callCount = 20
+
+	listener, address := listen(t)
+	started, release := make(chan struct{}, callCount), make(chan struct{})
+	server := managedpeer.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, request *message) *message {
+		started <- struct{}{}
+
+		<-release
+
+		return &message{request.Text + " answered"}
+	})
+
+	peers := newClient(t)
+
+	var calls sync.WaitGroup
+
+	for i := range callCount {
+		calls.Go(func() {
+			text, reply := fmt.Sprintf("call %d", i), new(message)
+
+			if assert.NoError(t, peers.Call(t.Context(), address, &message{text}, reply)) {
+				assert.Equal(t, text+" answered", reply.Text)
+			}
+		})
+	}
+
+	for range callCount {
+		<-started
+	}
+
+	closed := make(chan struct{})
+
+	go func() {
+		defer close(closed)
+
+		server.Close()
+	}()
+
+	awaitRefused(t, address)
+	close(release)
+	calls.Wait()
+	<-closed
+}
+
+// Guards against a process that doesn't end in time because a client accepts no replies, or because a call takes long.
+func TestCloseIsBounded(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		name string
+		// blocks is true if the calls never end, and false if the client doesn't read their replies.
+		blocks bool
+	}{
+		{"client does not read", false},
+		{"call does not end", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			const callCount = 20
+
+			listener, address := listen(t)
+			started, release := make(chan struct{}, callCount), make(chan struct{})
+			server := managedpeer.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, _ *message) *message {
+				started <- struct{}{}
+
+				if test.blocks {
+					<-release
+				}
+
+				return &message{strings.Repeat("x", 1<<20)}
+			})
+
+			defer close(release)
+
+			conn, err := net.Dial("tcp", address.String())
+			require.NoError(t, err)
+
+			defer conn.Close()
+
+			for i := range callCount {
+				_, err = conn.Write([]byte{0, 0, 0, 12, 0, 0, 0, 0, 0, 0, 0, byte(i + 1), 0xa1, 0x01, 0x61, 'x'})
+				require.NoError(t, err)
+			}
+
+			for range callCount {
+				<-started
+			}
+
+			began := time.Now()
+
+			server.Close()
+			assert.Less(t, time.Since(began), 2*managedpeer.CloseTimeout)
+		})
+	}
+}
