io/managedpeer: tell clients which calls a closing server has accepted

Callers of other proxies got an unknown outcome for statements that were on their way to a stopping proxy and never ran: the client could not tell an unread request from one whose reply was lost.

The server now sends a frame with the call ID zero and the last call that it has accepted. Calls after it fail with ErrNotSent and ErrStopping; those before are answered. The client sends requests in the order of their IDs, whose highest bit says that it understands the frame. A connection that arrives between the last accept and the close of the listener may still be reset.

--- a/io/managedpeer/client.go
+++ b/io/managedpeer/client.go
@@ -27,6 +27,9 @@
 // ErrNotSent is returned by Client.Call if the request was not sent.
 var ErrNotSent = errors.New("the request could not be sent to the proxy")
 
+// ErrStopping is returned together with ErrNotSent if the proxy said that it is stopping and takes no more calls.
+var ErrStopping = errors.New("the proxy is stopping")
+
 // errConnectionEnded means that the connection ended before the reply arrived.
 var errConnectionEnded = errors.New("the connection ended")
 
@@ -43,8 +46,10 @@
 type peer struct {
 	mutex   sync.Mutex
 	current *connection
-	// failedAt is the time of the last failed attempt to connect.
+	// failedAt is the time of the last failed attempt to connect, or at which the proxy said that it is stopping, and failure
+	// the reason.
 	failedAt time.Time
+	failure  error
 }
 
 // connection multiplexes calls to one proxy.
@@ -53,8 +58,17 @@
 
 	mutex      sync.Mutex
 	lastCallID uint64
-	pending    map[uint64]chan []byte
+	pending    map[uint64]chan callResult
 	ended      bool
+	// stoppingSince is the time at which the server said that it takes no more calls, or zero. The connection lasts until the
+	// ones before are answered.
+	stoppingSince time.Time
+}
+
+// callResult is the content of a reply, or the reason why there is none.
+type callResult struct {
+	content []byte
+	err     error
 }
 
 // NewClient returns a client, which connects to a proxy when it first calls it.
@@ -118,13 +132,20 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	if p.current != nil && !p.current.hasEnded() {
-		return p.current, nil
+	if p.current != nil {
+		stoppingSince, ended := p.current.status()
+
+		switch {
+		case !stoppingSince.IsZero():
+			p.current, p.failedAt, p.failure = nil, stoppingSince, errNotAccepted
+		case !ended:
+			return p.current, nil
+		}
 	}
 
 	// Calls that waited for a failed attempt must not each make an attempt of their own.
 	if time.Since(p.failedAt) < reconnectPause {
-		return nil, eris.New("the last attempt to connect failed a moment ago")
+		return nil, eris.Wrap(p.failure, "the last attempt failed a moment ago")
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
@@ -132,72 +153,108 @@
 
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", to.String())
 	if err != nil {
-		p.failedAt = time.Now()
+		p.failedAt, p.failure = time.Now(), err
 
 		return nil, eris.Wrap(err, "connect")
 	}
 
-	p.current = &connection{framed: newFramedConn(conn), pending: make(map[uint64]chan []byte)}
+	p.current = &connection{framed: newFramedConn(conn), lastCallID: knowsStop, pending: make(map[uint64]chan callResult)}
 
 	go p.current.dispatchReplies()
 
 	return p.current, nil
 }
 
-// detach makes the next call open a new connection.
+// detach makes the next call open a new connection. One to a stopping proxy stays for the pause before that.
 func (p *peer) detach(failed *connection) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 
-	if p.current == failed {
+	if stoppingSince, _ := failed.status(); p.current == failed && stoppingSince.IsZero() {
 		p.current = nil
 	}
 }
 
-func (c *connection) hasEnded() bool {
+// status returns the time since which the server takes no more calls, or zero, and whether the connection has ended.
+func (c *connection) status() (stoppingSince time.Time, ended bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
-	return c.ended
+	return c.stoppingSince, c.ended
 }
 
 func (c *connection) call(ctx context.Context, request any) ([]byte, error) {
-	replies := make(chan []byte, 1)
+	callID, results, err := c.send(request)
+	if err != nil {
+		return nil, err
+	}
 
-	c.mutex.Lock()
-	if c.ended {
+	select {
+	case result := <-results:
+		return result.content, result.err
+	case <-ctx.Done():
+		c.mutex.Lock()
+		delete(c.pending, callID)
 		c.mutex.Unlock()
 
-		return nil, errors.Join(ErrNotSent, errConnectionEnded)
+		return nil, eris.Wrap(ctx.Err(), "wait for the reply")
 	}
+}
 
-	c.lastCallID++
-	callID := c.lastCallID
-	c.pending[callID] = replies
-	c.mutex.Unlock()
-
-	if err := c.framed.send(callID, request); err != nil {
+// send sends a request. It assigns the call ID while it holds the lock for writing, so that IDs rise in the order of the
+// requests on the wire.
+func (c *connection) send(request any) (callID uint64, results <-chan callResult, err error) {
+	frame, err := newFrame(request)
+	if err != nil {
 		c.close()
 
-		return nil, err
+		return 0, nil, err
 	}
 
-	select {
-	case content, open := <-replies:
-		if !open {
-			return nil, errConnectionEnded
+	c.framed.mutex.Lock()
+	defer c.framed.mutex.Unlock()
+
+	callID, results, err = c.register()
+	if err != nil {
+		return 0, nil, err
+	}
+
+	if err := c.framed.write(callID, frame); err != nil {
+		c.close()
+
+		// The server may have said before that it does not accept the call.
+		if result := <-results; errors.Is(result.err, ErrNotSent) {
+			return 0, nil, result.err
 		}
 
-		return content, nil
-	case <-ctx.Done():
-		c.mutex.Lock()
-		delete(c.pending, callID)
-		c.mutex.Unlock()
+		return 0, nil, err
+	}
 
-		return nil, eris.Wrap(ctx.Err(), "wait for the reply")
+	return callID, results, nil
+}
+
+// register returns the ID of a new call and the channel for its result.
+func (c *connection) register() (callID uint64, results <-chan callResult, err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	switch {
+	case !c.stoppingSince.IsZero():
+		return 0, nil, errNotAccepted
+	case c.ended:
+		return 0, nil, errors.Join(ErrNotSent, errConnectionEnded)
 	}
+
+	created := make(chan callResult, 1)
+	c.lastCallID++
+	c.pending[c.lastCallID] = created
+
+	return c.lastCallID, created, nil
 }
 
+// errNotAccepted is the error of a call that a stopping proxy has not accepted.
+var errNotAccepted = errors.Join(ErrNotSent, ErrStopping)
+
 // dispatchReplies passes each reply to the call that waits for it, until the connection ends.
 func (c *connection) dispatchReplies() {
 	defer c.close()
@@ -208,13 +265,40 @@
 			return // Method close ends the calls that wait.
 		}
 
+		if callID == stopCallID {
+			notice := new(stopNotice)
+			if err := cbor.Unmarshal(content, notice); err != nil {
+				return
+			}
+
+			c.stop(notice.LastCall)
+
+			continue
+		}
+
 		c.mutex.Lock()
-		replies := c.pending[callID]
+		results := c.pending[callID]
 		delete(c.pending, callID)
 		c.mutex.Unlock()
 
-		if replies != nil {
-			replies <- content
+		if results != nil {
+			results <- callResult{content: content}
+		}
+	}
+}
+
+// stop ends the calls after the last one that the server has accepted.
+func (c *connection) stop(lastCall uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	c.stoppingSince = time.Now()
+
+	for callID, results := range c.pending {
+		if callID > lastCall {
+			delete(c.pending, callID)
+
+			results <- callResult{err: errNotAccepted}
 		}
 	}
 }
@@ -228,8 +312,9 @@
 
 	c.ended = true
 
-	for callID, replies := range c.pending {
+	for callID, results := range c.pending {
 		delete(c.pending, callID)
-		close(replies)
+
+		results <- callResult{err: errConnectionEnded}
 	}
 }
--- a/io/managedpeer/close_test.go
+++ b/io/managedpeer/close_test.go
@@ -17,18 +17,18 @@
 	"almondgrade/io/managedpeer"
 )
 
-// awaitRefused waits until a server that is closing accepts no connections.
-func awaitRefused(t *testing.T, address netip.AddrPort) {
+// watchClose opens a connection and returns a function that waits until the server uses or ends it, as it does when it
+// begins to close.
+func watchClose(t *testing.T, address netip.AddrPort) (await func()) {
 	t.Helper()
 
-	require.Eventually(t, func() bool {
-		conn, err := net.Dial("tcp", address.String())
-		if err == nil {
-			_ = conn.Close()
-		}
+	conn, err := net.Dial("tcp", address.String())
+	require.NoError(t, err)
 
-		return err != nil
-	}, 5*time.Second, time.Millisecond)
+	return func() {
+		_, _ = conn.Read(make([]byte, 1)) // Data and the end both show it.
+		_ = conn.Close()
+	}
 }
 
 // Guards against replies that are lost because the server closes the connections before it has written them.
@@ -65,7 +65,7 @@
 		<-started
 	}
 
-	closed := make(chan struct{})
+	awaitClosing, closed := watchClose(t, address), make(chan struct{})
 
 	go func() {
 		defer close(closed)
@@ -73,7 +73,7 @@
 		server.Close()
 	}()
 
-	awaitRefused(t, address)
+	awaitClosing()
 	close(release)
 	calls.Wait()
 	<-closed
--- a/io/managedpeer/frame.go
+++ b/io/managedpeer/frame.go
@@ -24,6 +24,21 @@
 	writeTimeout = time.Second
 )
 
+const (
+	// stopCallID marks a frame of a server that takes no more calls on the connection; its content is a stopNotice. Calls
+	// never have this ID, so that clients of former builds ignore the frame.
+	stopCallID uint64 = 0
+	// knowsStop is set in the call IDs of a client that understands stopNotice. Servers of former builds return IDs unchanged.
+	knowsStop uint64 = 1 << 63
+)
+
+// stopNotice says which calls the server has accepted.
+type stopNotice struct {
+	// LastCall is the highest ID of an accepted call, or zero. IDs rise in the order in which the requests are sent, so that
+	// the server has not run, and won't run, those with a higher ID.
+	LastCall uint64 `cbor:"1,keyasint"`
+}
+
 // framedConn sends and receives the frames of one side of a connection. Method send is safe for concurrent use; only
 // one goroutine may call receive.
 type framedConn struct {
@@ -38,26 +53,42 @@
 
 // send sends a message as one frame; nil stands for a frame without content.
 func (w *framedConn) send(callID uint64, message any) error {
+	frame, err := newFrame(message)
+	if err != nil {
+		return err
+	}
+
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	return w.write(callID, frame)
+}
+
+// newFrame returns a frame without the ID of its call.
+func newFrame(message any) ([]byte, error) {
 	frame := make([]byte, lengthBytes+callIDBytes)
-	binary.BigEndian.PutUint64(frame[lengthBytes:], callID)
 
 	if message != nil {
 		content, err := cbor.Marshal(message)
 		if err != nil {
-			return eris.Wrap(err, "encode message")
+			return nil, eris.Wrap(err, "encode message")
 		}
 
 		frame = append(frame, content...)
 	}
 
 	if len(frame) > maxFrameBytes {
-		return eris.Errorf("the message takes %d bytes, more than %d", len(frame), maxFrameBytes)
+		return nil, eris.Errorf("the message takes %d bytes, more than %d", len(frame), maxFrameBytes)
 	}
 
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-lengthBytes))
 
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
+	return frame, nil
+}
+
+// write sends a frame. The mutex is held.
+func (w *framedConn) write(callID uint64, frame []byte) error {
+	binary.BigEndian.PutUint64(frame[lengthBytes:], callID)
 
 	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return eris.Wrap(err, "set write deadline")
--- a/io/managedpeer/server.go
+++ b/io/managedpeer/server.go
@@ -20,11 +20,15 @@
 	logger   *slog.Logger
 	ctx      context.Context
 	cancel   context.CancelFunc
-	running  sync.WaitGroup
-
-	mutex  sync.Mutex
-	conns  map[*serverConn]struct{}
-	closed bool
+	// accepted is closed once no more connections are accepted.
+	accepted chan struct{}
+
+	mutex   sync.Mutex
+	conns   map[*serverConn]struct{}
+	closing bool
+	// active is the number of connections, calls and notices in progress, and becameIdle gets a value when it falls to zero.
+	active     int
+	becameIdle chan struct{}
 }
 
 // serverConn is a connection of another proxy.
@@ -32,8 +36,10 @@
 	framed *framedConn
 
 	mutex sync.Mutex
-	// running is the number of calls whose replies have not been written yet.
+	// running is the number of calls, and of notices, that have not been written yet.
 	running int
+	// lastCall is the highest ID of a call that was accepted.
+	lastCall uint64
 	// stopping is true once the server closes, finished once it has written the last reply.
 	stopping bool
 	finished bool
@@ -42,7 +48,10 @@
 // Serve accepts connections and answers each request with the result of run. It calls run concurrently.
 func Serve[Q, R any](listener net.Listener, logger *slog.Logger, run func(context.Context, *Q) *R) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	server := &Server{listener: listener, logger: logger, ctx: ctx, cancel: cancel, conns: make(map[*serverConn]struct{})}
+	server := &Server{
+		listener: listener, logger: logger, ctx: ctx, cancel: cancel, accepted: make(chan struct{}),
+		conns: make(map[*serverConn]struct{}), becameIdle: make(chan struct{}, 1),
+	}
 
 	answer := func(from *framedConn, callID uint64, content []byte) {
 		request := new(Q)
@@ -60,38 +69,37 @@
 		}
 	}
 
-	server.running.Go(func() { server.accept(answer) })
+	go func() {
+		defer close(server.accepted)
+
+		server.accept(answer)
+	}()
 
 	return server
 }
 
-// Close closes the listener, waits until the replies to the calls in progress have been written, and closes the
-// connections. After CloseTimeout it closes them without waiting any longer.
+// Close tells the clients that no more calls are accepted, waits until the replies to those in progress have been written,
+// and closes the connections and the listener. After CloseTimeout it closes them without waiting any longer.
+//
+// The listener stays open meanwhile, because closing it resets the connections that were not accepted yet, whose clients
+// could not tell whether their requests have run.
 func (s *Server) Close() {
-	_ = s.listener.Close() // A failure has no consequence, because no connection is accepted any more.
+	limit := time.NewTimer(CloseTimeout)
+	defer limit.Stop()
 
 	s.mutex.Lock()
-	s.closed = true
+	s.closing = true
 
 	for conn := range s.conns {
-		conn.stop()
+		s.stopLocked(conn)
 	}
 	s.mutex.Unlock()
 
-	ended := make(chan struct{})
-
-	go func() {
-		defer close(ended)
-
-		s.running.Wait()
-	}()
-
-	limit := time.NewTimer(CloseTimeout)
-	defer limit.Stop()
+	ended := s.awaitIdle(limit.C)
+	_ = s.listener.Close() // A failure has no consequence, because no connection is accepted any more.
+	<-s.accepted
 
-	select {
-	case <-ended:
-	case <-limit.C:
+	if !ended || !s.awaitIdle(limit.C) {
 		s.logger.Warn("calls of other proxies are cut off, because their replies were not written in time")
 	}
 
@@ -105,11 +113,59 @@
 	}
 }
 
+// awaitIdle waits until no connection, call or notice is in progress. It returns false at the limit.
+func (s *Server) awaitIdle(limit <-chan time.Time) bool {
+	for {
+		s.mutex.Lock()
+		idle := s.active == 0
+		s.mutex.Unlock()
+
+		if idle {
+			return true
+		}
+
+		select {
+		case <-s.becameIdle:
+		case <-limit:
+			return false
+		}
+	}
+}
+
+// start runs a task that Close waits for.
+func (s *Server) start(task func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.startLocked(task)
+}
+
+// startLocked is start for callers that hold the mutex.
+func (s *Server) startLocked(task func()) {
+	s.active++
+
+	go func() {
+		task()
+
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+
+		s.active--
+
+		if s.active == 0 {
+			select {
+			case s.becameIdle <- struct{}{}:
+			default: // The one before has not been taken yet.
+			}
+		}
+	}()
+}
+
 func (s *Server) accept(answer func(*framedConn, uint64, []byte)) {
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
-			if !s.isClosed() {
+			if !s.isClosing() {
 				s.logger.Error("accepting connections of other proxies failed; no more are accepted", "error", err)
 			}
 
@@ -118,29 +174,42 @@
 
 		from := &serverConn{framed: newFramedConn(conn)}
 		s.register(from)
-		s.running.Go(func() { s.readRequests(from, answer) })
+		s.start(func() { s.readRequests(from, answer) })
 	}
 }
 
-func (s *Server) isClosed() bool {
+func (s *Server) isClosing() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
-	return s.closed
+	return s.closing
 }
 
-// register adds a connection. Close may have begun since it was accepted.
+// register adds a connection.
 func (s *Server) register(conn *serverConn) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
 	s.conns[conn] = struct{}{}
 
-	if s.closed {
-		conn.stop()
+	if s.closing {
+		s.stopLocked(conn)
 	}
 }
 
+// stopLocked makes a connection end after the replies to the calls that it has accepted. The mutex is held.
+func (s *Server) stopLocked(conn *serverConn) {
+	notice := conn.beginStop()
+
+	s.startLocked(func() {
+		defer conn.end()
+
+		if err := conn.framed.send(stopCallID, notice); err != nil {
+			s.logger.Debug("another proxy could not be told that calls are no longer accepted", "error", err)
+		}
+	})
+}
+
 // readRequests starts a goroutine for each request of a connection.
 func (s *Server) readRequests(from *serverConn, answer func(*framedConn, uint64, []byte)) {
 	for {
@@ -151,11 +220,11 @@
 			break
 		}
 
-		if !from.begin() {
-			continue
+		if !from.begin(callID) {
+			continue // The client knows, or learns by the end of the connection, that there is no reply.
 		}
 
-		s.running.Go(func() {
+		s.start(func() {
 			defer from.end()
 
 			answer(from.framed, callID, content)
@@ -169,21 +238,23 @@
 	s.mutex.Unlock()
 }
 
-// begin counts a call. It returns false if no reply can be sent any more.
-func (c *serverConn) begin() bool {
+// begin accepts a call, or returns false. Once the server closes, it accepts only calls of clients that don't understand
+// the notice, as long as their replies can be sent.
+func (c *serverConn) begin(callID uint64) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
-	if c.finished {
+	if c.finished || c.stopping && callID&knowsStop != 0 {
 		return false
 	}
 
 	c.running++
+	c.lastCall = max(c.lastCall, callID)
 
 	return true
 }
 
-// end is called when the reply to a call was written.
+// end is called when the reply to a call, or a notice, was written.
 func (c *serverConn) end() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -192,13 +263,15 @@
 	c.finishIfIdle()
 }
 
-// stop makes the connection end after the replies to the calls in progress.
-func (c *serverConn) stop() {
+// beginStop makes the connection refuse further calls and returns the notice to be sent.
+func (c *serverConn) beginStop() *stopNotice {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
 	c.stopping = true
-	c.finishIfIdle()
+	c.running++
+
+	return &stopNotice{c.lastCall}
 }
 
 // finishIfIdle ends the sending side once all replies were written. The connection stays open for reading until the client
