io/managedpeer: let Client.Close wait for the calls in progress

Callers of a stopping proxy got INDOUBT for writes that it had forwarded.

Close now makes further calls fail with ErrNotSent, and waits for those in progress. Before, a call after Close opened a new connection. CloseTimeout bounds both sides and falls from 0.5 to 0.3 s, so that they end within the shutdown grace one after the other.

--- a/io/managedpeer/client.go
+++ b/io/managedpeer/client.go
@@ -24,12 +24,19 @@
 	retirePeriod = 5 * time.Second
 )
 
+// CloseTimeout bounds Client.Close and Server.Close. Replies take milliseconds; a peer that does not answer, or accepts no
+// data, must not delay the end of the process. Both fit into the 0.9 s that the drain leaves of a shutdown grace of 6 s.
+const CloseTimeout = 300 * time.Millisecond
+
 // ErrNotSent is returned by Client.Call if the request was not sent.
 var ErrNotSent = errors.New("the request could not be sent to the proxy")
 
 // ErrStopping is returned together with ErrNotSent if the proxy said that it is stopping and takes no more calls.
 var ErrStopping = errors.New("the proxy is stopping")
 
+// errClosed means that the client was closed.
+var errClosed = errors.New("this proxy is stopping")
+
 // errConnectionEnded means that the connection ended before the reply arrived.
 var errConnectionEnded = errors.New("the connection ended")
 
@@ -37,8 +44,12 @@
 type Client struct {
 	logger *slog.Logger
 
-	mutex sync.Mutex
-	peers map[netip.AddrPort]*peer
+	// calls are the calls in progress. None begins once closed is true.
+	calls sync.WaitGroup
+
+	mutex  sync.Mutex
+	peers  map[netip.AddrPort]*peer
+	closed bool
 }
 
 // peer holds the current connection to one proxy. Its mutex is held while a connection is opened, so that other calls
@@ -79,14 +90,12 @@
 // Call sends a request to another proxy and waits for the reply. It fails with ErrNotSent if the proxy can't have
 // received the request.
 func (c *Client) Call(ctx context.Context, to netip.AddrPort, request, reply any) error {
-	c.mutex.Lock()
-	target := c.peers[to]
-
-	if target == nil {
-		target = &peer{}
-		c.peers[to] = target
+	target, err := c.begin(to)
+	if err != nil {
+		return err
 	}
-	c.mutex.Unlock()
+
+	defer c.calls.Done()
 
 	conn, err := target.connect(ctx, to)
 	if err != nil {
@@ -113,8 +122,50 @@
 	return eris.Wrap(cbor.Unmarshal(content, reply), "decode reply")
 }
 
-// Close closes all connections.
+// begin counts a call and returns the peer that it goes to.
+func (c *Client) begin(to netip.AddrPort) (*peer, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	if c.closed {
+		return nil, errors.Join(ErrNotSent, errClosed)
+	}
+
+	c.calls.Add(1)
+
+	target := c.peers[to]
+	if target == nil {
+		target = &peer{}
+		c.peers[to] = target
+	}
+
+	return target, nil
+}
+
+// Close makes further calls fail with ErrNotSent, waits for those in progress, CloseTimeout at most, and closes all
+// connections.
 func (c *Client) Close() {
+	c.mutex.Lock()
+	c.closed = true
+	c.mutex.Unlock()
+
+	answered := make(chan struct{})
+
+	go func() {
+		defer close(answered)
+
+		c.calls.Wait()
+	}()
+
+	limit := time.NewTimer(CloseTimeout)
+	defer limit.Stop()
+
+	select {
+	case <-answered:
+	case <-limit.C:
+		c.logger.Warn("calls to other proxies are cut off, because they were not answered in time")
+	}
+
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
--- a/io/managedpeer/close_test.go
+++ b/io/managedpeer/close_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -131,3 +132,75 @@
 		})
 	}
 }
+
+// Guards against unknown outcomes of statements that a proxy has forwarded when it stops itself: its client closed the
+// connections without waiting for the replies. Seen in TestPlannedStopAnswersCallersThatComeBack.
+func TestClientCloseWaitsForCallsInProgress(t *testing.T) {
+	t.Parallel()
+
+	listener, address := listen(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	server := managedpeer.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, request *message) *message {
+		if request.Text == "slow" {
+			close(started)
+			<-release
+		}
+
+		return request
+	})
+
+	defer server.Close()
+
+	peers, slow := newClient(t), make(chan error, 1)
+
+	go func() { slow <- peers.Call(t.Context(), address, &message{"slow"}, new(message)) }()
+
+	<-started
+
+	closed := make(chan struct{})
+
+	go func() {
+		defer close(closed)
+
+		peers.Close()
+	}()
+
+	assert.Eventually(t, func() bool {
+		return errors.Is(peers.Call(t.Context(), address, &message{"new"}, new(message)), managedpeer.ErrNotSent)
+	}, 2*time.Second, time.Millisecond, "a client that closes takes no more calls")
+	close(release)
+	require.NoError(t, <-slow)
+	<-closed
+}
+
+// Guards against a process that doesn't end in time because another proxy does not answer.
+func TestClientCloseIsBounded(t *testing.T) {
+	t.Parallel()
+
+	listener, address := listen(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	server := managedpeer.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, request *message) *message {
+		close(started)
+		<-release
+
+		return request
+	})
+
+	defer server.Close()
+	defer close(release)
+
+	peers, unanswered := newClient(t), make(chan error, 1)
+
+	go func() { unanswered <- peers.Call(t.Context(), address, &message{"x"}, new(message)) }()
+
+	<-started
+
+	began := time.Now()
+
+	peers.Close()
+	assert.Less(t, time.Since(began), 2*managedpeer.CloseTimeout)
+
+	err := <-unanswered
+	require.Error(t, err)
+	require.NotErrorIs(t, err, managedpeer.ErrNotSent)
+}
--- a/io/managedpeer/server.go
+++ b/io/managedpeer/server.go
@@ -10,10 +10,6 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// CloseTimeout bounds Server.Close. Replies take milliseconds; a client that accepts no data must not delay the end of
-// the process.
-const CloseTimeout = 500 * time.Millisecond
-
 // Server answers the calls of other proxies.
 type Server struct {
 	listener net.Listener
