io/managedpeer: accept the connections that wait when a server closes

Calls over a new connection got an unknown outcome if the server closed before it had accepted the connection: closing the listener resets the connections in its queue, and the client can't tell whether its request was read. Closing the listener last is not enough, because the server may be idle while connections still wait to be accepted.

Close now accepts what is in the queue, without waiting, directly before it closes the listener, so that these clients get the notice and then ErrNotSent. What is left is a connection that arrives between this and the close, some microseconds.

--- a/io/managedpeer/close_test.go
+++ b/io/managedpeer/close_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -204,3 +205,34 @@
 	require.Error(t, err)
 	require.NotErrorIs(t, err, managedpeer.ErrNotSent)
 }
+
+// Guards against connections that are reset because the server closes before it has accepted them: their clients could not
+// tell whether their requests have run.
+func TestCloseTellsConnectionsThatWaitToBeAccepted(t *testing.T) {
+	t.Parallel()
+
+	const connCount = 32
+
+	listener, address := listen(t)
+	server := managedpeer.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, request *message) *message { return request })
+
+	var clients sync.WaitGroup
+
+	for range connCount {
+		conn, err := net.Dial("tcp", address.String())
+		require.NoError(t, err)
+
+		_, err = conn.Write([]byte{0, 0, 0, 12, 0x80, 0, 0, 0, 0, 0, 0, 1, 0xa1, 0x01, 0x61, 'x'})
+		require.NoError(t, err)
+
+		clients.Go(func() {
+			defer conn.Close()
+
+			_, err := io.ReadAll(conn)
+			assert.NoError(t, err, "the connection was reset")
+		})
+	}
+
+	server.Close()
+	clients.Wait()
+}
--- a/io/managedpeer/server.go
+++ b/io/managedpeer/server.go
@@ -16,6 +16,8 @@
 	logger   *slog.Logger
 	ctx      context.Context
 	cancel   context.CancelFunc
+	// answer runs a call and writes its reply.
+	answer func(from *framedConn, callID uint64, content []byte)
 	// accepted is closed once no more connections are accepted.
 	accepted chan struct{}
 
@@ -49,7 +51,7 @@
 		conns: make(map[*serverConn]struct{}), becameIdle: make(chan struct{}, 1),
 	}
 
-	answer := func(from *framedConn, callID uint64, content []byte) {
+	server.answer = func(from *framedConn, callID uint64, content []byte) {
 		request := new(Q)
 
 		var reply any
@@ -68,7 +70,7 @@
 	go func() {
 		defer close(server.accepted)
 
-		server.accept(answer)
+		server.accept()
 	}()
 
 	return server
@@ -92,6 +94,15 @@
 	s.mutex.Unlock()
 
 	ended := s.awaitIdle(limit.C)
+
+	for queued := acceptQueued(s.listener); len(queued) > 0; queued = acceptQueued(s.listener) {
+		for _, conn := range queued {
+			s.register(conn)
+		}
+
+		ended = ended && s.awaitIdle(limit.C)
+	}
+
 	_ = s.listener.Close() // A failure has no consequence, because no connection is accepted any more.
 	<-s.accepted
 
@@ -157,7 +168,7 @@
 	}()
 }
 
-func (s *Server) accept(answer func(*framedConn, uint64, []byte)) {
+func (s *Server) accept() {
 	for {
 		conn, err := s.listener.Accept()
 		if err != nil {
@@ -168,9 +179,7 @@
 			return
 		}
 
-		from := &serverConn{framed: newFramedConn(conn)}
-		s.register(from)
-		s.start(func() { s.readRequests(from, answer) })
+		s.register(conn)
 	}
 }
 
@@ -181,8 +190,10 @@
 	return s.closing
 }
 
-// register adds a connection.
-func (s *Server) register(conn *serverConn) {
+// register adds a connection and begins to read from it.
+func (s *Server) register(accepted net.Conn) {
+	conn := &serverConn{framed: newFramedConn(accepted)}
+
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 
@@ -191,6 +202,8 @@
 	if s.closing {
 		s.stopLocked(conn)
 	}
+
+	s.startLocked(func() { s.readRequests(conn) })
 }
 
 // stopLocked makes a connection end after the replies to the calls that it has accepted. The mutex is held.
@@ -207,7 +220,7 @@
 }
 
 // readRequests starts a goroutine for each request of a connection.
-func (s *Server) readRequests(from *serverConn, answer func(*framedConn, uint64, []byte)) {
+func (s *Server) readRequests(from *serverConn) {
 	for {
 		callID, content, err := from.framed.receive()
 		if err != nil {
@@ -223,7 +236,7 @@
 		s.start(func() {
 			defer from.end()
 
-			answer(from.framed, callID, content)
+			s.answer(from.framed, callID, content)
 		})
 	}
 
