internal/managedproxy: don't count stopping holders as unanswered

Callers got 1309 (a statement or transaction that has not run) although a holder could serve it, when three or more holders of a group stopped together: a holder that says that it takes no more calls (managedpeer.ErrStopping) counted among the three that may fail to answer a statement.

Holders that can't be connected to count as before, because each may cost 0.25 s.

--- a/internal/managedproxy/holder.go
+++ b/internal/managedproxy/holder.go
@@ -22,7 +22,7 @@
 	holderRetryInterval    = time.Second
 	maxHolderRetryInterval = 4 * time.Second
 	// maxUnanswered bounds the holders that may fail to answer one statement, maxHolderAttempts all holders that it is
-	// sent to. A holder that declines does so at once.
+	// sent to. A holder that declines, or says that it is stopping, does so at once.
 	maxUnanswered     = 3
 	maxHolderAttempts = 6
 	// holderReadDivisor divides a read's timeout: after that part of it another holder is tried.
@@ -310,11 +310,14 @@
 			return reply, to, nil
 		}
 
-		if err == nil {
+		switch {
+		case err == nil:
 			err = errDeclined
 
 			gateway.holderHealth.recordFailure(to.Name, time.Now())
-		} else {
+		case errors.Is(err, managedpeer.ErrStopping):
+			// Like one that declines, it has said so at once.
+		default:
 			unanswered++
 		}
 
--- a/io/managedpeer/stopnotice_test.go
+++ b/io/managedpeer/stopnotice_test.go
@@ -129,7 +129,10 @@
 	awaitClosing()
 	close(release)
 	require.NoError(t, <-first, "it was accepted")
-	require.ErrorIs(t, <-second, managedpeer.ErrNotSent)
+
+	err := <-second
+	require.ErrorIs(t, err, managedpeer.ErrNotSent)
+	require.ErrorIs(t, err, managedpeer.ErrStopping)
 
 	close(between.release)
 	<-closed
