internal/managedproxy: keep avoiding a holder that declines until it accepts again

Statements kept being sent to a holder that declines them, each of which then waited for a second holder: any answer of the holder ended the time for which it is avoided, also to a transaction that it still keeps or to a statement from before, and even the declining reply itself. So the time never doubled either, as docs/platform.md says that it does.

Only an answer to a first statement that was sent after the last decline now ends it. ErrStopping counts as a decline. Failures to answer are handled as before: any answer ends them.

--- a/internal/managedproxy/forward_test.go
+++ b/internal/managedproxy/forward_test.go
@@ -408,7 +408,7 @@
 
 	now = now.Add(maxHolderRetryInterval)
 	assert.Equal(t, "near", health.pick(holders, "a", nil, now, 0).Name)
-	health.recordAnswer("near")
+	health.recordAnswer("near", true, now)
 	health.recordFailure("near", now)
 	assert.Equal(t, "far", health.pick(holders, "a", nil, now, 0).Name)
 	assert.Equal(t, "near", health.pick(holders, "a", nil, now.Add(holderRetryInterval), 0).Name)
--- a/internal/managedproxy/holder.go
+++ b/internal/managedproxy/holder.go
@@ -84,6 +84,8 @@
 	// pause is the time for which the holder is avoided after the last failure, until the end of that time.
 	pause time.Duration
 	until time.Time
+	// declinedAt is the time at which the holder last declined a statement or said that it is stopping, or zero.
+	declinedAt time.Time
 }
 
 // holderHealth records which other proxies have lately failed to answer or declined a statement. It is safe for
@@ -96,10 +98,15 @@
 	failures map[string]holderFailure
 }
 
+// recordFailure records that a holder did not answer.
 func (h *holderHealth) recordFailure(name string, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 
+	h.recordFailureLocked(name, now)
+}
+
+func (h *holderHealth) recordFailureLocked(name string, now time.Time) {
 	if h.failures == nil {
 		h.failures = make(map[string]holderFailure)
 	}
@@ -110,14 +117,31 @@
 	}
 
 	pause := min(max(2*last.pause, holderRetryInterval), maxHolderRetryInterval)
-	h.failures[name] = holderFailure{pause: pause, until: now.Add(pause)}
+	h.failures[name] = holderFailure{pause: pause, until: now.Add(pause), declinedAt: last.declinedAt}
+}
+
+// recordDecline records that a holder has declined a statement, or said that it is stopping.
+func (h *holderHealth) recordDecline(name string, now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+
+	h.recordFailureLocked(name, now)
+
+	last := h.failures[name]
+	last.declinedAt = now
+	h.failures[name] = last
 }
 
-func (h *holderHealth) recordAnswer(name string) {
+// recordAnswer records the answer to a statement that was sent at the given time. A holder that has declined still answers
+// the statements that it had accepted before, and those of its open transactions; only an answer to a later first statement
+// shows that it accepts statements again.
+func (h *holderHealth) recordAnswer(name string, first bool, sent time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 
-	delete(h.failures, name)
+	if last := h.failures[name]; last.declinedAt.IsZero() || first && sent.After(last.declinedAt) {
+		delete(h.failures, name)
+	}
 }
 
 // pick returns the holder for a statement, and never one that was tried before. It prefers holders that have not
@@ -313,8 +337,6 @@
 		switch {
 		case err == nil:
 			err = errDeclined
-
-			gateway.holderHealth.recordFailure(to.Name, time.Now())
 		case errors.Is(err, managedpeer.ErrStopping):
 			// Like one that declines, it has said so at once.
 		default:
@@ -406,18 +428,29 @@
 	}
 
 	reply, err := gateway.options.Forward(ctx, to.Address, f.request)
+	gateway.holderHealth.record(to.Name, f.request, now, reply, err)
+
 	if err != nil {
-		gateway.holderHealth.recordFailure(to.Name, time.Now())
 		gateway.count("forward_failed")
 
 		return nil, err
 	}
 
-	gateway.holderHealth.recordAnswer(to.Name)
-
 	return reply, nil
 }
 
+// record records what became of a request that was sent at the given time.
+func (h *holderHealth) record(name string, request *ForwardRequest, sent time.Time, reply *ForwardReply, err error) {
+	switch {
+	case errors.Is(err, managedpeer.ErrStopping), err == nil && reply.Declined:
+		h.recordDecline(name, time.Now())
+	case err != nil:
+		h.recordFailure(name, time.Now())
+	default:
+		h.recordAnswer(name, request.isFirst(), sent)
+	}
+}
+
 // replyMargin is added to the deadline of a call, so that an answer sent at the deadline can still arrive.
 const replyMargin = 30 * time.Millisecond
 
--- a/internal/managedproxy/stoppingholder_test.go
+++ b/internal/managedproxy/stoppingholder_test.go
@@ -3,8 +3,11 @@
 import (
 	"errors"
 	"net/netip"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"almondgrade/core/placement"
@@ -50,3 +53,105 @@
 		}
 	}
 }
+
+// Guards against statements that keep being sent to a holder that declines them, because its answers to a transaction that
+// it still keeps, and to statements from before, end the time for which it is avoided.
+func TestHolderThatDeclinesIsAvoidedWhileItKeepsATransaction(t *testing.T) {
+	t.Parallel()
+
+	h := newForwardFixture(t)
+
+	// No transaction may time out here.
+	for _, f := range append(h.fixtures(), h.front) {
+		f.idleTimeout = time.Minute
+		f.applyConfiguration(2)
+	}
+
+	var declining netip.AddrPort
+
+	for address, holder := range h.holders {
+		if holder.gateway.options.Name == "h1" {
+			declining = address
+		}
+	}
+
+	// Only h1 is left in the front's view, so that the transaction is there.
+	all := h.front.holders
+	h.front.holders = all[:1]
+	h.front.applyView()
+
+	inTransaction := h.front.connect("latest")
+	require.NoError(t, inTransaction.ask(Begin, "BEGIN").Err)
+	require.NoError(t, inTransaction.ask(Write, "WRITE 1 a").Err)
+
+	// A read that h1 has accepted is answered after it has begun to decline.
+	begun, release := make(chan struct{}), make(chan struct{})
+	h.after = func(_ netip.AddrPort, request *ForwardRequest) error {
+		if request.Statement.Text == "READ before" {
+			close(begun)
+			<-release
+		}
+
+		return nil
+	}
+	before := h.front.connect("latest")
+	before.statements <- Statement{ID: "1", Kind: Read, Text: "READ before"}
+
+	<-begun
+
+	holder := h.holders[declining]
+	holder.holders = all[1:]
+	holder.applyView()
+
+	h.front.holders = all
+	h.front.applyView()
+
+	var sent atomic.Int64
+
+	h.before = func(to netip.AddrPort, request *ForwardRequest) error {
+		if to == declining && request.isFirst() {
+			sent.Add(1)
+		}
+
+		return nil
+	}
+
+	session, began := h.front.connect("latest"), time.Now()
+
+	for i := range 40 {
+		require.NoError(t, session.ask(Write, "WRITE 2 b").Err)
+		require.NoError(t, inTransaction.ask(Write, "WRITE 1 a").Err)
+
+		if i == 20 {
+			close(release)
+			require.NoError(t, (<-before.replies).Err)
+		}
+	}
+
+	require.NoError(t, inTransaction.ask(Commit, "COMMIT").Err)
+	assert.LessOrEqual(t, sent.Load(), 1+int64(time.Since(began)/holderRetryInterval), "statements sent to a holder that declines")
+}
+
+// Guards against a holder that is asked again each second although it has declined for long.
+func TestHolderIsTriedLessOftenAfterDeclines(t *testing.T) {
+	t.Parallel()
+
+	health, now := &holderHealth{}, time.Now()
+	request := &ForwardRequest{}
+
+	var pauses []time.Duration
+
+	for range 3 {
+		health.record("h", request, now, &ForwardReply{Declined: true}, nil)
+		pauses = append(pauses, health.failures["h"].pause)
+
+		failure := health.failures["h"]
+		failure.until = now
+		health.failures["h"] = failure
+	}
+
+	assert.Equal(t, []time.Duration{holderRetryInterval, 2 * holderRetryInterval, 4 * holderRetryInterval}, pauses)
+
+	health.record("h", request, time.Now(), &ForwardReply{}, nil)
+	assert.Empty(t, health.failures, "it accepts statements again")
+}
