internal/managedproxy: wait for the rollback at a holder when stopping

A transaction whose caller's proxy stopped could stay open at its holder, with its locks and a connection, until the idle time and a second had passed: the rollback was sent in the background, the session no longer counted, and the process could end before the request had left.

--- a/internal/managedproxy/holder.go
+++ b/internal/managedproxy/holder.go
@@ -579,11 +579,17 @@
 	holder := s.tx.holder
 	s.tx.holder = nil
 
-	// The caller doesn't wait for a holder that may be gone.
-	go func() {
+	rollback := func() {
 		if _, err := outgoing.attempt(holder, outgoing.began.Add(rollbackTimeout), outgoing.began); err != nil {
 			s.gateway.options.Logger.Info("holder could not be asked to roll back; it does so after the idle timeout", "holder",
 				holder.Name, "error", err)
 		}
-	}()
+	}
+
+	if s.gateway.Draining() && s.running.Load() == nil {
+		// No caller waits, and the session counts until then, so that the process doesn't end before the holder was asked.
+		rollback()
+	} else {
+		go rollback() // The caller doesn't wait for a holder that may be gone.
+	}
 }
--- a/internal/managedproxy/stoppingholder_test.go
+++ b/internal/managedproxy/stoppingholder_test.go
@@ -155,3 +155,42 @@
 	health.record("h", request, time.Now(), &ForwardReply{}, nil)
 	assert.Empty(t, health.failures, "it accepts statements again")
 }
+
+// Guards against a transaction that stays open at a holder, with its locks and its connection, until the idle time has
+// passed, because the proxy of its caller ends before it has told the holder to roll it back.
+func TestStoppingProxyWaitsForTheRollbackAtTheHolder(t *testing.T) {
+	t.Parallel()
+
+	h := newForwardFixture(t)
+	h.front.idleTimeout = time.Minute
+	h.front.applyConfiguration(2)
+
+	session := h.front.connect("latest")
+	require.NoError(t, session.ask(Begin, "BEGIN").Err)
+	require.NoError(t, session.ask(Write, "WRITE 1 a").Err)
+
+	sent, release := make(chan struct{}), make(chan struct{})
+	h.before = func(_ netip.AddrPort, request *ForwardRequest) error {
+		if request.Statement.Kind == Rollback {
+			close(sent)
+			<-release
+		}
+
+		return nil
+	}
+
+	h.front.gateway.Drain()
+	h.front.gateway.CloseSessions(true)
+	<-sent
+	assert.Never(t, func() bool { return h.front.gateway.CloseSessions(true) == 0 }, 50*time.Millisecond, time.Millisecond,
+		"the holder has not been told yet")
+	close(release)
+	<-session.closed
+	assert.Eventually(t, func() bool { return h.front.gateway.CloseSessions(true) == 0 }, 5*time.Second, time.Millisecond)
+
+	for _, holder := range h.fixtures() {
+		holder.gateway.mutex.Lock()
+		assert.Empty(t, holder.gateway.heldTransactions)
+		holder.gateway.mutex.Unlock()
+	}
+}
