internal/managedproxy: take a stopping proxy's statements out of holders' queues

Callers of a stopping proxy may get an unknown outcome for statements that never ran: they still wait for a connection at a holder when the proxy ends, and the proxy can't tell.

Gateway.AbandonForwards tells the holders, which answer such statements as not run; statements that run there end by themselves within the time that managedpeer.Client.Close waits. The daemon does not call it yet; that belongs between the drain and Client.Close.

--- a/internal/managedproxy/abandon.go
+++ b/internal/managedproxy/abandon.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondgrade/core/result"
+	"almondgrade/core/timer"
 )
 
 // callerCheckInterval is the time between two checks whether the caller of a waiting statement is still there. Target
@@ -137,6 +138,14 @@
 	w.active.Store(false)
 }
 
+// target returns the holder that has not answered yet, if any.
+func (w *forwardWatch) target() (to netip.AddrPort, active bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+
+	return w.to, w.active.Load()
+}
+
 // check returns the holder that has to be told that the caller is gone, and whether it is told for the first time.
 func (w *forwardWatch) check(caller Caller, now time.Time) (to netip.AddrPort, first, gone bool) {
 	if !w.active.Load() {
@@ -175,9 +184,47 @@
 			ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 			defer cancel()
 
-			if _, err := g.options.Forward(ctx, to, &ForwardRequest{Token: session.token, Abandon: true}); err != nil {
-				g.options.Logger.Debug("holder could not be told that a caller is gone", "error", err)
-			}
+			g.sendAbandon(ctx, to, session.token)
 		}()
 	}
 }
+
+// AbandonForwards tells holders that this proxy ends. The statements of its callers that wait there leave the queue and are
+// answered as not run, in place of an unknown outcome when the connection to the holder ends. It repeats this for
+// abandonRepeatInterval at most, because a statement may not have waited yet.
+func (g *Gateway) AbandonForwards() {
+	ctx, cancel := context.WithTimeout(context.Background(), abandonRepeatInterval)
+	defer cancel()
+
+	for g.abandonActiveForwards(ctx) > 0 {
+		if timer.Sleep(ctx, callerCheckInterval) != nil {
+			return
+		}
+	}
+}
+
+// abandonActiveForwards tells the holder of each statement that is not answered yet, and returns the number of these.
+func (g *Gateway) abandonActiveForwards(ctx context.Context) (count int) {
+	var requests sync.WaitGroup
+
+	g.mutex.Lock()
+	for session := range g.sessions {
+		if to, active := session.watch.target(); active {
+			count++
+
+			requests.Go(func() { g.sendAbandon(ctx, to, session.token) })
+		}
+	}
+	g.mutex.Unlock()
+
+	requests.Wait()
+
+	return count
+}
+
+// sendAbandon tells a holder that a statement need not wait any longer.
+func (g *Gateway) sendAbandon(ctx context.Context, to netip.AddrPort, token uint64) {
+	if _, err := g.options.Forward(ctx, to, &ForwardRequest{Token: token, Abandon: true}); err != nil {
+		g.options.Logger.Debug("holder could not be told that a statement is abandoned", "error", err)
+	}
+}
--- a/internal/managedproxy/stoppingholder_test.go
+++ b/internal/managedproxy/stoppingholder_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"almondgrade/core/placement"
+	"almondgrade/core/result"
 	"almondgrade/io/managedpeer"
 )
 
@@ -194,3 +195,52 @@
 		holder.gateway.mutex.Unlock()
 	}
 }
+
+// Guards against an unknown outcome of a statement that still waits at a holder when the proxy of its caller ends.
+func TestStoppingProxyTakesItsStatementsOutOfTheHoldersQueue(t *testing.T) {
+	t.Parallel()
+
+	h := newForwardFixture(t)
+
+	var pools []*connPool
+
+	for _, holder := range h.fixtures() {
+		pool := holder.gateway.servers["p"].connPool
+		pool.setGrant(1)
+
+		_, err := pool.get(soon(), 1, connUser{})
+		require.NoError(t, err)
+
+		pools = append(pools, pool)
+	}
+
+	waiting := func() (count int) {
+		for _, pool := range pools {
+			pool.mutex.Lock()
+			count += pool.conns.Waiting()
+			pool.mutex.Unlock()
+		}
+
+		return count
+	}
+
+	settings := h.front.gateway.view.Load().pools["latest"]
+	settings.Timeout, settings.TargetLatency = 20*time.Second, 20*time.Second
+	session := h.front.connect("latest")
+	session.statements <- Statement{ID: "1", Kind: Write, Writes: true}
+
+	require.Eventually(t, func() bool { return waiting() == 1 }, 5*time.Second, time.Millisecond)
+	h.front.gateway.Drain()
+	h.front.gateway.AbandonForwards()
+
+	select {
+	case reply := <-session.replies:
+		assert.Equal(t, result.RanNo, result.CodeOf(reply.Err).Ran(), reply.Err)
+	case <-time.After(managedpeer.CloseTimeout):
+		t.Error("the holder has not answered when the client closes the connection")
+		session.gone.Store(true)
+		<-session.replies
+	}
+
+	assert.Zero(t, waiting())
+}
