internal/managedproxy: decline statements that wait when the proxy ceases to be a holder

Callers got 1302 ("group few1 does not have a primary yet") about 0.2 s after the SIGTERM of a proxy, and again 0.05 s after it had come back, in a trial run of TestPlannedStopAnswersCallersThatComeBack with two stops (10 statements). A change of primary was ruled out: there was none. Control had published holders without this proxy, and leaves the group out of its view; the statements that waited there for a connection were tried again and found no group.

They have not run, so a holder now declines them, or sends those of its own callers to the next holder, if one is left to try.

--- a/internal/managedproxy/statementrun.go
+++ b/internal/managedproxy/statementrun.go
@@ -214,8 +214,9 @@
 
 	var takeover *takeoverError
 	if !errors.As(reason, &takeover) {
-		// Another holder may hear from control.
-		r.session.declined = r.session.mayDecline && result.CodeOf(reason) == result.Unconfirmed
+		// Another holder may hear from control, or this proxy has ceased to be one while the statement waited.
+		r.session.declined = r.session.mayDecline && (result.CodeOf(reason) == result.Unconfirmed ||
+			r.session.gateway.view.Load().holders[r.pool.Group].mustForward())
 
 		return false
 	}
--- a/internal/managedproxy/stoppingholder_test.go
+++ b/internal/managedproxy/stoppingholder_test.go
@@ -12,6 +12,7 @@
 
 	"almondgrade/core/placement"
 	"almondgrade/core/result"
+	"almondgrade/io/managedcontrol"
 	"almondgrade/io/managedpeer"
 )
 
@@ -244,3 +245,83 @@
 
 	assert.Zero(t, waiting())
 }
+
+// Guards against a refusal (1302) of statements that wait for a connection at a holder when control publishes holders without
+// it, as at the beginning of its planned stop and after another one's. They have not run, and the next holder serves them.
+func TestStatementThatWaitsGoesToTheNextHolder(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		name string
+		// own is true if the caller is connected to the former holder.
+		own  bool
+		kind Kind
+	}{
+		{"write", false, Write},
+		{"read", false, Read},
+		{"transaction", false, Begin},
+		{"write of an own caller", true, Write},
+		{"read of an own caller", true, Read},
+		{"transaction of an own caller", true, Begin},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			h := newForwardFixture(t)
+
+			var former *fixture
+
+			for _, holder := range h.holders {
+				holder.gateway.options.Forward = h.call
+
+				if holder.gateway.options.Name == "h1" {
+					former = holder
+				}
+			}
+
+			pool := former.gateway.servers["p"].connPool
+			pool.setGrant(1)
+
+			_, err := pool.get(soon(), 1, connUser{})
+			require.NoError(t, err)
+
+			front := h.front
+			if test.own {
+				front = former
+			}
+
+			settings := front.gateway.view.Load().pools["latest"]
+			settings.Timeout, settings.TargetLatency = 20*time.Second, 20*time.Second
+
+			// The front prefers h1.
+			front.gateway.holderHealth.recordFailure("h2", time.Now().Add(time.Minute))
+
+			session := front.connect("latest")
+			statement := Statement{ID: "1", Kind: test.kind, Text: "X 1", Writes: test.kind == Write}
+
+			if test.kind == Begin {
+				require.NoError(t, session.ask(Begin, "BEGIN").Err)
+
+				statement.Kind, statement.Writes = Write, true
+			}
+
+			session.statements <- statement
+
+			require.Eventually(t, func() bool {
+				pool.mutex.Lock()
+				defer pool.mutex.Unlock()
+
+				return pool.conns.Waiting() == 1
+			}, 5*time.Second, time.Millisecond)
+
+			// Control leaves out the groups that a proxy has no connections to.
+			former.version++
+			former.gateway.Apply(nil, &managedcontrol.View{
+				Version: managedcontrol.Version{Term: 1, Number: former.version}, Proxies: 1, HoldersKnown: true,
+				Holders: map[string][]placement.Proxy{"g": h.front.holders[1:]},
+			})
+
+			require.NoError(t, (<-session.replies).Err)
+		})
+	}
+}
