io/managedpeer: close a connection after a frame that was sent in part

Callers of other proxies could get a malformed reply, or the end of the connection with an unknown outcome, after a proxy had read nothing for a second: the server's write timed out inside a frame, only logged it, and sent the next reply behind the part, which the client read as the rest of the first. The client already closed the connection in this case.

A failed write now closes the connection on both sides.

--- a/io/managedpeer/frame.go
+++ b/io/managedpeer/frame.go
@@ -86,7 +86,8 @@
 	return frame, nil
 }
 
-// write sends a frame. The mutex is held.
+// write sends a frame. After a failure it closes the connection, because the frame may have been sent in part, and the other
+// side would read the next one as the rest of it. The mutex is held.
 func (w *framedConn) write(callID uint64, frame []byte) error {
 	binary.BigEndian.PutUint64(frame[lengthBytes:], callID)
 
@@ -94,9 +95,13 @@
 		return eris.Wrap(err, "set write deadline")
 	}
 
-	_, err := w.conn.Write(frame)
+	if _, err := w.conn.Write(frame); err != nil {
+		_ = w.conn.Close() // The error of the write says more.
 
-	return eris.Wrap(err, "send frame")
+		return eris.Wrap(err, "send frame")
+	}
+
+	return nil
 }
 
 // receive returns the next frame.
