io/managedpeer: let a request that is too large end no other call

All calls in progress between two proxies got an unknown outcome when one caller's request was too large for a frame (2 MiB; a session's variables alone can reach that), because the client closed the connection. The sender also took the holders for failed, one after the other.

Such a call now fails with ErrNotSent and ErrUnsendable and leaves the connection as it is. The sender refuses the statement as not run, without a second holder and without avoiding any. A reply that is too large is not covered.

--- a/internal/managedproxy/forward_test.go
+++ b/internal/managedproxy/forward_test.go
@@ -185,6 +185,21 @@
 	}
 }
 
+// Guards against holders that are avoided because a caller's request is too large for any of them.
+func TestRequestThatIsTooLargeSaysNothingAboutTheHolder(t *testing.T) {
+	t.Parallel()
+
+	h := newForwardFixture(t)
+	h.before = func(netip.AddrPort, *ForwardRequest) error {
+		return errors.Join(managedpeer.ErrNotSent, managedpeer.ErrUnsendable)
+	}
+
+	reply := h.front.connect("latest").ask(Write, "WRITE 1 a")
+	assert.Equal(t, result.RanNo, result.CodeOf(reply.Err).Ran(), reply.Err)
+	assert.EqualValues(t, 1, h.calls.Load())
+	assert.Empty(t, h.front.gateway.holderHealth.failures)
+}
+
 // Guards against a transaction that stays open at a holder after its front proxy was lost, against one that continues
 // at another holder, and against a commit of unknown outcome that is reported as rolled back.
 func TestForwardedTransactionEnds(t *testing.T) {
--- a/internal/managedproxy/holder.go
+++ b/internal/managedproxy/holder.go
@@ -347,6 +347,10 @@
 		lastErr = result.New(result.ServerUnreachable, "proxy %s, which holds the connections, did not answer: %w", to.Name, err)
 		gateway.logFailedAttempt(f.request.Statement, to.Name, err, len(tried))
 
+		if errors.Is(err, managedpeer.ErrUnsendable) {
+			return nil, nil, lastErr
+		}
+
 		if !f.repeatable && !errors.Is(err, managedpeer.ErrNotSent) && !errors.Is(err, errDeclined) {
 			return nil, to, &noAnswerError{lastErr}
 		}
@@ -442,6 +446,7 @@
 // record records what became of a request that was sent at the given time.
 func (h *holderHealth) record(name string, request *ForwardRequest, sent time.Time, reply *ForwardReply, err error) {
 	switch {
+	case errors.Is(err, managedpeer.ErrUnsendable): // It says nothing about the holder.
 	case errors.Is(err, managedpeer.ErrStopping), err == nil && reply.Declined:
 		h.recordDecline(name, time.Now())
 	case err != nil:
--- a/io/managedpeer/client.go
+++ b/io/managedpeer/client.go
@@ -34,6 +34,9 @@
 // ErrStopping is returned together with ErrNotSent if the proxy said that it is stopping and takes no more calls.
 var ErrStopping = errors.New("the proxy is stopping")
 
+// ErrUnsendable is returned together with ErrNotSent if no proxy could be sent the request, because it is too large.
+var ErrUnsendable = errors.New("the request can't be sent to any proxy")
+
 // errClosed means that the client was closed.
 var errClosed = errors.New("this proxy is stopping")
 
@@ -105,6 +108,8 @@
 	content, err := conn.call(ctx, request)
 
 	switch {
+	case errors.Is(err, ErrUnsendable):
+		return err
 	case errors.Is(err, ErrNotSent):
 		target.detach(conn)
 
@@ -257,9 +262,7 @@
 func (c *connection) send(request any) (callID uint64, results <-chan callResult, err error) {
 	frame, err := newFrame(request)
 	if err != nil {
-		c.close()
-
-		return 0, nil, err
+		return 0, nil, errors.Join(ErrNotSent, ErrUnsendable, err)
 	}
 
 	c.framed.mutex.Lock()
--- a/io/managedpeer/client_test.go
+++ b/io/managedpeer/client_test.go
@@ -186,6 +186,33 @@
 	assert.NoError(t, <-slow)
 }
 
+// Guards against a request that is too large for a frame and ends the calls of others in progress on the connection.
+func TestRequestThatIsTooLargeEndsNoOtherCall(t *testing.T) {
+	t.Parallel()
+
+	listener, address := listen(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	server := managedpeer.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, request *message) *message {
+		close(started)
+		<-release
+
+		return request
+	})
+
+	defer server.Close()
+
+	peers, other := newClient(t), make(chan error, 1)
+
+	go func() { other <- peers.Call(t.Context(), address, &message{"other"}, new(message)) }()
+
+	<-started
+
+	err := peers.Call(t.Context(), address, &message{strings.Repeat("x", 2<<20)}, new(message))
+	assert.ErrorIs(t, err, managedpeer.ErrNotSent)
+	close(release)
+	require.NoError(t, <-other)
+}
+
 // Guards against malformed frames that stop the server. Only the connection may end.
 func TestMalformedFrames(t *testing.T) {
 	t.Parallel()
