io/managedpeer: report a reply that is too large at once

A caller waited until the timeout of its statement, and its proxy then took the holder and the connection for lost, when the reply was too large for a frame: the server only logged that and sent nothing.

The server now sends a reply without content, as for a request that it can't decode, which former clients understand as well. The outcome stays unknown, because the statement has run.

--- a/io/managedpeer/client.go
+++ b/io/managedpeer/client.go
@@ -121,7 +121,7 @@
 
 		return eris.Wrapf(err, "call proxy %s", to)
 	case len(content) == 0:
-		return eris.Errorf("proxy %s could not decode the request", to)
+		return eris.Errorf("proxy %s could not decode the request, or not encode the reply", to)
 	}
 
 	return eris.Wrap(cbor.Unmarshal(content, reply), "decode reply")
--- a/io/managedpeer/client_test.go
+++ b/io/managedpeer/client_test.go
@@ -213,6 +213,26 @@
 	require.NoError(t, <-other)
 }
 
+// Guards against a call that waits until its deadline because the reply is too large for a frame.
+func TestReplyThatIsTooLargeIsReportedAtOnce(t *testing.T) {
+	t.Parallel()
+
+	listener, address := listen(t)
+	server := managedpeer.Serve(listener, slog.New(slog.DiscardHandler), func(context.Context, *message) *message {
+		return &message{strings.Repeat("x", 2<<20)}
+	})
+
+	defer server.Close()
+
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+
+	err := newClient(t).Call(ctx, address, &message{"x"}, new(message))
+	require.Error(t, err)
+	require.NotErrorIs(t, err, managedpeer.ErrNotSent, "it has run")
+	require.NotErrorIs(t, err, context.DeadlineExceeded)
+}
+
 // Guards against malformed frames that stop the server. Only the connection may end.
 func TestMalformedFrames(t *testing.T) {
 	t.Parallel()
--- a/io/managedpeer/doc.go
+++ b/io/managedpeer/doc.go
@@ -4,7 +4,7 @@
 //
 // A connection multiplexes any number of concurrent calls. Each message is a frame: its length in bytes without this
 // field (4 bytes, big endian), the ID of the call (8 bytes, big endian) and the request or reply in CBOR. A reply
-// without content says that the request could not be decoded.
+// without content says that the request could not be decoded, or the reply not be encoded.
 //
 // A server that closes sends a frame with the call ID zero: it takes no more calls on this connection, and the content
 // names the last one that it has accepted. Those before are answered before the connection ends; those after, which were on
--- a/io/managedpeer/frame.go
+++ b/io/managedpeer/frame.go
@@ -58,15 +58,28 @@
 		return err
 	}
 
+	return w.sendFrame(callID, frame)
+}
+
+// sendFrame sends a frame.
+func (w *framedConn) sendFrame(callID uint64, frame []byte) error {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 
 	return w.write(callID, frame)
 }
 
+// emptyFrame returns a frame without content and without the ID of its call.
+func emptyFrame() []byte {
+	frame := make([]byte, lengthBytes+callIDBytes)
+	binary.BigEndian.PutUint32(frame, callIDBytes)
+
+	return frame
+}
+
 // newFrame returns a frame without the ID of its call.
 func newFrame(message any) ([]byte, error) {
-	frame := make([]byte, lengthBytes+callIDBytes)
+	frame := emptyFrame()
 
 	if message != nil {
 		content, err := cbor.Marshal(message)
--- a/io/managedpeer/server.go
+++ b/io/managedpeer/server.go
@@ -62,7 +62,14 @@
 			reply = run(ctx, request)
 		}
 
-		if err := from.send(callID, reply); err != nil {
+		frame, err := newFrame(reply)
+		if err != nil {
+			logger.Warn("reply to another proxy can't be encoded; it is sent without content", "error", err)
+
+			frame = emptyFrame()
+		}
+
+		if err := from.sendFrame(callID, frame); err != nil {
 			logger.Info("reply to another proxy could not be sent", "error", err)
 		}
 	}
