--- a/core/drain/schedule.go
+++ b/core/drain/schedule.go
@@ -26,9 +26,9 @@
 	acceptShare = 0.5
 	// statementShare is the fraction of the grace period that statements have to end by themselves.
 	statementShare = 0.85
-	// answerShare is the fraction of the grace period after which the process ends in any case. The rest is for closing
-	// connections and files before the process is killed.
-	answerShare = 0.93
+	// answerShare is the fraction of the grace period after which the process ends in any case. The rest is for the end of
+	// the calls between processes and for closing connections before the process is killed.
+	answerShare = 0.9
 )
 
 // Schedule divides the grace period of a planned stop into phases.
--- a/internal/manageddaemon/proxy.go
+++ b/internal/manageddaemon/proxy.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -134,14 +135,22 @@
 	p.drain(stopAccepting)
 	stop()
 	<-followed
-	server.Close()
+	p.closePeers(server)
 	p.gateway.Close()
-	p.peers.Close()
 	p.clock.Close()
 	p.gateway.LogUnfinished()
 	p.options.Logger.Info("proxy ends")
 }
 
+// closePeers closes the connections of other proxies and those to them. Both may take managedpeer.CloseTimeout.
+func (p *Proxy) closePeers(server *managedpeer.Server) {
+	var closing sync.WaitGroup
+
+	closing.Go(server.Close)
+	closing.Go(p.peers.Close)
+	closing.Wait()
+}
+
 // followControl calls control continuously and applies its replies.
 func (p *Proxy) followControl(ctx context.Context) {
 	client := newClient(p.options.ControlAddresses(), p.options.Logger)
@@ -275,6 +284,10 @@
 			p.logDrain("shutdown goes on", next, began)
 
 			phase = next
+
+			if phase == drain.Answering {
+				p.gateway.AbandonForwards()
+			}
 		}
 
 		p.gateway.ContinueDrain(phase)
