platform, manageddaemon: answer calls during a planned stop of control

Callers saw: around the SIGTERM of a control process, heartbeats, Deregister, Config.Replace and Config.Fetch that were completely sent ended without a response.

Cause: RunControl called http.Server.Close after the connections to other processes had been closed, so calls in progress were cut off.

Change: after the transfer of the leadership, the control process answers the calls that have arrived before it closes anything that they need. A relay follows the leader until its calls are answered. A process to which the leadership was handed over during its own stop hands it over again.

--- a/internal/manageddaemon/control.go
+++ b/internal/manageddaemon/control.go
@@ -47,8 +47,13 @@
 	maxMembers = 7
 	// maxMessageBytes bounds one gRPC message. A configuration of several hundred pools takes about 0.2 MB.
 	maxMessageBytes = 16 << 20
-	// transferTimeout bounds the transfer of the leadership at a planned stop.
+	// transferTimeout bounds the transfer of the leadership at a planned stop, and transferShare is the fraction of the
+	// shutdown grace that it may take.
 	transferTimeout = time.Second
+	transferShare   = 1.0 / 6
+	// callShare is the fraction of the shutdown grace after which calls in progress are cut off. A call takes up to
+	// managedcontrol.DeliverTimeout once it has arrived.
+	callShare = 0.5
 	// introduceInterval is the time between two calls to seeds that keep no log. After a restart of all processes, the
 	// callers of such a seed wait for its first call.
 	introduceInterval = 500 * time.Millisecond
@@ -80,13 +85,16 @@
 	AnnounceInterval time.Duration
 	// MemoryLimit is the size in bytes above which the process is killed.
 	MemoryLimit int64
-	Logger      *slog.Logger
+	// ShutdownGrace is the time between SIGTERM and SIGKILL.
+	ShutdownGrace time.Duration
+	Logger        *slog.Logger
 }
 
 // ControlProcess is a Control or a Relay.
 type ControlProcess interface {
-	// Run serves until the context ends.
-	Run(ctx context.Context) error
+	// Run serves until the context ends. It then calls finishCalls, which has to return once no call of DeliverToLeader is
+	// in progress, or when its context ends.
+	Run(ctx context.Context, finishCalls func(ctx context.Context)) error
 	// Metrics returns the handler of the metrics address.
 	Metrics() http.Handler
 	// DeliverToLeader executes a call of a backend server or an operator at the leader.
@@ -178,8 +186,9 @@
 	return metrics.Handler(c.metrics.Registry)
 }
 
-// Run serves until the context ends or the log fails. When the context ends, it transfers the leadership.
-func (c *Control) Run(ctx context.Context) error {
+// Run serves until the context ends or the log fails. When the context ends, it transfers the leadership and answers the
+// calls in progress.
+func (c *Control) Run(ctx context.Context, finishCalls func(ctx context.Context)) error {
 	server := newServer()
 	c.group.Register(server)
 	managedcontrol.Register(server, c.controller)
@@ -201,15 +210,28 @@
 
 	select {
 	case <-ctx.Done():
-		c.transferLeadership()
 	case err := <-c.group.Failed():
 		failure = eris.Wrap(err, "control log failed")
 	case err := <-ended:
 		failure = eris.Wrap(err, "serve other processes")
 	}
 
+	stopCtx, cancel := context.WithTimeout(context.Background(), shareOf(c.options.ShutdownGrace, callShare))
+	defer cancel()
+
+	if failure == nil {
+		c.transferLeadership(stopCtx)
+	}
+
 	stop()
 	introducer.Wait()
+	finishCalls(stopCtx)
+
+	// Another process that stops may have handed it over to this one meanwhile.
+	if failure == nil {
+		c.transferLeadership(stopCtx)
+	}
+
 	c.controller.Close()
 	server.Stop()
 	c.client.Close()
@@ -224,6 +246,11 @@
 	return failure
 }
 
+// shareOf returns a fraction of a time.
+func shareOf(whole time.Duration, fraction float64) time.Duration {
+	return time.Duration(fraction * float64(whole))
+}
+
 // newServer returns the gRPC server of a control process.
 func newServer() *grpc.Server {
 	return grpc.NewServer(
@@ -282,12 +309,12 @@
 	}
 }
 
-func (c *Control) transferLeadership() {
+func (c *Control) transferLeadership(ctx context.Context) {
 	if _, _, self := c.group.Leader(); !self {
 		return
 	}
 
-	ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
+	ctx, cancel := context.WithTimeout(ctx, min(transferTimeout, shareOf(c.options.ShutdownGrace, transferShare)))
 	defer cancel()
 
 	if err := c.group.Transfer(ctx); err != nil {
--- a/internal/manageddaemon/relay.go
+++ b/internal/manageddaemon/relay.go
@@ -48,8 +48,8 @@
 	return metrics.Handler(r.metrics.Registry)
 }
 
-// Run keeps track of the leader until the context ends.
-func (r *Relay) Run(ctx context.Context) error {
+// Run keeps track of the leader until the context ends and the calls in progress are answered.
+func (r *Relay) Run(ctx context.Context, finishCalls func(ctx context.Context)) error {
 	server := newServer()
 	managedcontrol.Register(server, r)
 
@@ -58,7 +58,22 @@
 	go func() { ended <- server.Serve(r.listener) }()
 
 	r.options.Logger.Info("relay starts", "address", r.options.Address)
-	r.trackLeader(ctx)
+
+	trackCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+
+	var tracker sync.WaitGroup
+
+	tracker.Go(func() { r.trackLeader(trackCtx) })
+
+	<-ctx.Done()
+
+	stopCtx, cancel := context.WithTimeout(context.Background(), shareOf(r.options.ShutdownGrace, callShare))
+	defer cancel()
+
+	finishCalls(stopCtx)
+	stop()
+	tracker.Wait()
 	server.Stop()
 	r.client.Close()
 	r.options.Logger.Info("relay ends")
