manageddaemon, managedcontroller: finish calls of other processes

Callers saw: calls that a control process had passed on to the leader failed with 503 after its planned stop had cut them off, and proxies lost calls for changes in progress.

Cause: Control and Relay called grpc.Server.Stop while handlers were running.

Change: a stopping process refuses further calls of Deliver with a code that is retried elsewhere, awaits those in progress within half of the grace, answers the waiting calls of Sync, ends the streams of the log, and closes the connections in order. A connection that its other side doesn't close, as a frozen process, is closed after 0.5 s, or a sixth of the grace.

Ruled out: GracefulStop alone, which would wait for the streams of the log, and for up to 5 s for a frozen process.

--- a/internal/managedcontroller/controller.go
+++ b/internal/managedcontroller/controller.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net/netip"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"almondgrade/core/lateness"
 	"almondgrade/core/result"
 	"almondgrade/core/timer"
@@ -31,6 +34,8 @@
 	tickInterval = 100 * time.Millisecond
 	// proposeTimeout bounds a proposal to the log. Callers give up after a second.
 	proposeTimeout = 800 * time.Millisecond
+	// allDeliveries is more than the number of calls of Deliver that can be in progress.
+	allDeliveries = math.MaxInt64
 )
 
 // Log is the replicated log.
@@ -98,6 +103,8 @@
 	stopLateness timer.StopFunc
 
 	compressed compressedConfigurations
+	// deliveries admits calls of Deliver.
+	deliveries *semaphore.Weighted
 
 	mutex   sync.Mutex
 	current *leadership
@@ -110,7 +117,7 @@
 	}
 
 	ctx, cancel := context.WithCancel(context.Background())
-	created := &Controller{options: options, ctx: ctx, cancel: cancel, ticks: make(chan struct{}, 1), lateness: lateness.New(latenessInterval)}
+	created := &Controller{options: options, ctx: ctx, cancel: cancel, ticks: make(chan struct{}, 1), lateness: lateness.New(latenessInterval), deliveries: semaphore.NewWeighted(allDeliveries)}
 	created.stopLateness = options.Timer.Every(latenessInterval, func(time.Time) { created.lateness.Tick(time.Now()) })
 	created.stop = options.Timer.Every(tickInterval, func(time.Time) { created.requestTick() })
 
@@ -119,7 +126,14 @@
 	return created
 }
 
-// Close stops the controller.
+// FinishDeliveries refuses further calls of Deliver and returns when those in progress have ended, or the context has.
+func (c *Controller) FinishDeliveries(ctx context.Context) {
+	if err := c.deliveries.Acquire(ctx, allDeliveries); err != nil {
+		c.options.Logger.Warn("calls from other control processes are cut off by the end of the process", "error", err)
+	}
+}
+
+// Close stops the controller. Calls of Sync that wait are answered.
 func (c *Controller) Close() {
 	c.stop()
 	c.stopLateness()
@@ -279,6 +293,8 @@
 
 		select {
 		case <-changed:
+		case <-c.ctx.Done():
+			return netip.AddrPort{}
 		case <-ctx.Done():
 			return netip.AddrPort{}
 		}
@@ -287,6 +303,12 @@
 
 // Deliver implements managedcontrol.Service.
 func (c *Controller) Deliver(ctx context.Context, delivery *managedcontrol.DeliverRequest) (*managedcontrol.DeliverReply, error) {
+	if !c.deliveries.TryAcquire(1) {
+		return receiptFor(result.New(result.NotLeader, "this process is shutting down")), nil
+	}
+
+	defer c.deliveries.Release(1)
+
 	current := c.leadership()
 	if current == nil {
 		return receiptFor(result.New(result.NotLeader, "this process does not lead")), nil
--- a/internal/manageddaemon/control.go
+++ b/internal/manageddaemon/control.go
@@ -54,6 +54,10 @@
 	// callShare is the fraction of the shutdown grace after which calls in progress are cut off. A call takes up to
 	// managedcontrol.DeliverTimeout once it has arrived.
 	callShare = 0.5
+	// closeTimeout bounds the close of connections from other processes once all calls are answered, and closeShare is the
+	// fraction of the shutdown grace that it may take. A process that is frozen does not close its own.
+	closeTimeout = 500 * time.Millisecond
+	closeShare   = 1.0 / 6
 	// introduceInterval is the time between two calls to seeds that keep no log. After a restart of all processes, the
 	// callers of such a seed wait for its first call.
 	introduceInterval = 500 * time.Millisecond
@@ -232,11 +236,15 @@
 		c.transferLeadership(stopCtx)
 	}
 
+	c.controller.FinishDeliveries(stopCtx)
 	c.controller.Close()
-	server.Stop()
+
+	// The streams of the other members end with the group.
+	err := c.group.Close()
+	stopServer(server, c.options.ShutdownGrace)
 	c.client.Close()
 
-	if err := c.group.Close(); err != nil && failure == nil {
+	if err != nil && failure == nil {
 		failure = eris.Wrap(err, "close control log")
 	}
 
@@ -251,6 +259,27 @@
 	return time.Duration(fraction * float64(whole))
 }
 
+// stopServer closes the connections of a server whose calls have been answered, once the answers are sent.
+func stopServer(server *grpc.Server, grace time.Duration) {
+	stopped := make(chan struct{})
+
+	go func() {
+		defer close(stopped)
+
+		server.GracefulStop()
+	}()
+
+	ctx, cancel := context.WithTimeout(context.Background(), min(closeTimeout, shareOf(grace, closeShare)))
+	defer cancel()
+
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		server.Stop()
+		<-stopped
+	}
+}
+
 // newServer returns the gRPC server of a control process.
 func newServer() *grpc.Server {
 	return grpc.NewServer(
--- a/internal/manageddaemon/relay.go
+++ b/internal/manageddaemon/relay.go
@@ -74,7 +74,7 @@
 	finishCalls(stopCtx)
 	stop()
 	tracker.Wait()
-	server.Stop()
+	stopServer(server, r.options.ShutdownGrace)
 	r.client.Close()
 	r.options.Logger.Info("relay ends")
 
