managedcontroller: name the next leader to proxies that wait

Callers saw: at a planned stop of the leader, each proxy whose call waited for a change got an empty reply, tried another control process after a pause, and logged that control is unreachable although the stopping process knew the next leader.

Cause: a waiting Sync was answered without a leader at the end of the leadership.

Change: it names the next leader, as later calls did already, and waits for one like them. A process that is closing and still leads, because the transfer failed, names none, so that proxies move on at once.

Ruled out: leaving it to the client, which can't tell such a reply from that of a process without a quorum.

--- a/internal/managedcontroller/controller.go
+++ b/internal/managedcontroller/controller.go
@@ -280,14 +280,20 @@
 	return &managedcontrol.SyncReply{Leader: c.awaitLeader(ctx)}, nil
 }
 
-// awaitLeader returns the address of the leader. While none is known, it waits for one up to longPollTimeout.
+// awaitLeader returns the address of the leader. While none is known, it waits for one up to longPollTimeout, unless the
+// controller is closed.
 func (c *Controller) awaitLeader(ctx context.Context) netip.AddrPort {
 	ctx, cancel := context.WithTimeout(ctx, longPollTimeout)
 	defer cancel()
 
 	for {
 		changed := c.options.Log.Changed()
-		if _, leader, self := c.options.Log.Leader(); leader.IsValid() || self {
+		_, leader, self := c.options.Log.Leader()
+
+		switch {
+		case self && c.ctx.Err() != nil:
+			return netip.AddrPort{} // This process still leads because the transfer failed.
+		case leader.IsValid() || self:
 			return leader
 		}
 
--- a/internal/managedcontroller/leadership.go
+++ b/internal/managedcontroller/leadership.go
@@ -300,7 +300,7 @@
 		case <-changed:
 		case <-pollCtx.Done():
 		case <-l.ctx.Done():
-			return &managedcontrol.SyncReply{}, nil
+			return &managedcontrol.SyncReply{Leader: l.controller.awaitLeader(ctx)}, nil
 		}
 	}
 }
--- a/internal/managedcontroller/stop_test.go
+++ b/internal/managedcontroller/stop_test.go
@@ -2,13 +2,21 @@
 
 import (
 	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"almondgrade/core/result"
+	"almondgrade/core/timer"
 	"almondgrade/core/topology"
+	"almondgrade/core/viewlog"
+	"almondgrade/internal/metrics"
 	"almondgrade/io/managedcontrol"
 )
 
@@ -75,6 +83,91 @@
 	<-finished
 }
 
+// transferredLog is a log whose leadership can move to another member.
+type transferredLog struct {
+	*fakeLog
+
+	transferred atomic.Bool
+}
+
+// nextLeader is the address of the other member.
+func nextLeader() netip.AddrPort { return netip.MustParseAddrPort("10.0.0.2:80") }
+
+// Leader implements Log.
+func (l *transferredLog) Leader() (string, netip.AddrPort, bool) {
+	if l.transferred.Load() {
+		return "b", nextLeader(), false
+	}
+
+	return l.fakeLog.Leader()
+}
+
+// Guards against proxies that look for a leader at all control processes, and log that control is unreachable, where the former
+// one knows the next.
+func TestWaitingCallsNameNextLeader(t *testing.T) {
+	t.Parallel()
+
+	const callers = 20
+
+	state := topology.NewState()
+	log := &transferredLog{fakeLog: &fakeLog{state: state, changed: make(chan struct{})}}
+	clock := timer.New()
+	controller := New(Options{
+		Name: "control", Log: log, State: state, Timer: clock, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.New(),
+		AnnounceInterval: time.Hour,
+	})
+
+	t.Cleanup(func() {
+		controller.Close()
+		clock.Close()
+	})
+
+	request := managedcontrol.SyncRequest{ViewPosition: &viewlog.Position{}}
+
+	require.Eventually(t, func() bool {
+		reply, err := controller.Sync(t.Context(), &request)
+		if err != nil || reply.View == nil {
+			return false
+		}
+
+		request.AppliedVersion = reply.View.Version
+
+		return true
+	}, 30*time.Second, time.Millisecond)
+
+	var running sync.WaitGroup
+
+	held := make(chan struct{}, callers)
+
+	for range callers {
+		running.Go(func() {
+			for first := true; ; first = false {
+				reply, err := controller.Sync(t.Context(), &request)
+				if !assert.NoError(t, err) {
+					return
+				}
+
+				if reply.Lease <= 0 {
+					assert.Equal(t, nextLeader(), reply.Leader)
+
+					return
+				}
+
+				if first {
+					held <- struct{}{}
+				}
+			}
+		})
+	}
+
+	for range callers {
+		<-held
+	}
+
+	log.transferred.Store(true)
+	running.Wait()
+}
+
 // Guards against a stop that waits for a call that takes no end.
 func TestFinishOfDeliveriesIsBounded(t *testing.T) {
 	t.Parallel()
