--- a/internal/managedproxy/abandon.go
+++ b/internal/managedproxy/abandon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -80,6 +81,9 @@
 // It is built for callers that give up and leave together, while most statements are forwarded: without it they would wait
 // at the holder, and take the place of others, until they run for nobody.
 type waitingForwards struct {
+	// ended is true once this proxy forwards no more statements of its own callers.
+	ended atomic.Bool
+
 	mutex    sync.Mutex
 	sessions map[uint64]*session
 }
@@ -189,10 +193,15 @@
 	}
 }
 
-// AbandonForwards tells holders that this proxy ends. The statements of its callers that wait there leave the queue and are
-// answered as not run, in place of an unknown outcome when the connection to the holder ends. It repeats this for
-// abandonRepeatInterval at most, because a statement may not have waited yet.
+// errEnding means that a statement was not forwarded because this proxy ends.
+var errEnding = errors.New("this proxy ends")
+
+// AbandonForwards ends the forwarding of statements and tells holders that this proxy ends. The statements of its callers
+// that wait there leave the queue and are answered as not run, in place of an unknown outcome when the connection to the
+// holder ends. It repeats this for abandonRepeatInterval at most, because a statement may not have waited yet.
 func (g *Gateway) AbandonForwards() {
+	g.waits.ended.Store(true)
+
 	ctx, cancel := context.WithTimeout(context.Background(), abandonRepeatInterval)
 	defer cancel()
 
--- a/internal/managedproxy/holder.go
+++ b/internal/managedproxy/holder.go
@@ -422,15 +422,19 @@
 	ctx, cancel := context.WithDeadline(context.Background(), limit.Add(replyMargin))
 	defer cancel()
 
-	gateway.count("forwarded_out")
-
 	if f.request.Statement.Kind != Rollback {
 		f.request.Token = f.session.token
 
 		f.session.watch.begin(to.Address, now)
 		defer f.session.watch.end()
+
+		if gateway.waits.ended.Load() {
+			return nil, errors.Join(managedpeer.ErrNotSent, errEnding)
+		}
 	}
 
+	gateway.count("forwarded_out")
+
 	reply, err := gateway.options.Forward(ctx, to.Address, f.request)
 	gateway.holderHealth.record(to.Name, f.request, now, reply, err)
 
--- a/internal/managedproxy/stoppingholder_test.go
+++ b/internal/managedproxy/stoppingholder_test.go
@@ -244,6 +244,12 @@
 	}
 
 	assert.Zero(t, waiting())
+
+	// A caller that comes back at once must not leave a further statement behind.
+	calls := h.calls.Load()
+	reply := h.front.connect("latest").ask(Write, "WRITE 1 a")
+	assert.Equal(t, result.RanNo, result.CodeOf(reply.Err).Ran(), reply.Err)
+	assert.Equal(t, calls, h.calls.Load())
 }
 
 // Guards against a refusal (1302) of statements that wait for a connection at a holder when control publishes holders without
