io/backend: hold permit of connection whose login was lost

Callers saw "too many clients already" (53300, code 1309) for up to a minute after all connections of a primary had gone silent, and no transaction committed meanwhile.

Cause: a login that was not answered within 3 s released its permit at once, and nobody ended the connection at the server, which still counted it. The next connection took the one that the server keeps free, so that no request to end connections got through any more.

Such a connection is now handed to OnAbandoned with its permit, like one that is closed with an unread answer. A login that the server refuses, or whose connection it closes, releases its permit at once as before.

Measured: TestLostLoginKeepsItsPermit fails on the code before ("was not reported as abandoned") and passes on this one; go test -race -count=1 ./io/backend passes.

--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -46,7 +46,7 @@
 	// TLS enables encryption if it is not nil.
 	TLS *tls.Config
 	// OnAbandoned is called for each connection that a Pool closes while the server may still be running a statement of
-	// it, and takes over its permit. It may be nil and must not block.
+	// it, or whose login was not answered in time, and takes over its permit. It may be nil and must not block.
 	OnAbandoned func(*Conn, Permit)
 }
 
@@ -106,6 +106,17 @@
 
 // Open connects to a server and logs in. Its errors carry result.ServerUnreachable.
 func Open(ctx context.Context, options Options) (*Conn, error) {
+	conn, err := open(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+
+	return conn, nil
+}
+
+// open is like Open, but also returns the closed connection with the error if the login was not answered in time. The
+// server may have accepted such a connection and keep it open.
+func open(ctx context.Context, options Options) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, options.ConnectTimeout)
 	defer cancel()
 
@@ -129,12 +140,17 @@
 	if err != nil {
 		_ = connection.Close()
 
-		return nil, result.New(result.ServerUnreachable, "log in to backend server %s: %w", options.Address, err)
+		if ctx.Err() == nil {
+			conn = nil
+		}
+
+		return conn, result.New(result.ServerUnreachable, "log in to backend server %s: %w", options.Address, err)
 	}
 
 	return conn, nil
 }
 
+// login logs in over a new connection. With an error it returns the connection if the startup message was sent.
 func login(ctx context.Context, connection net.Conn, options Options) (*Conn, error) {
 	account, err := options.Login()
 	if err != nil {
@@ -165,11 +181,11 @@
 		"user": account.User, "database": account.Database, "application_name": conn.application,
 	}}
 	if err := conn.Send(startup); err != nil {
-		return nil, err
+		return conn, err
 	}
 
 	if err := conn.authenticate(account.Password); err != nil {
-		return nil, err
+		return conn, err
 	}
 
 	return conn, conn.readUntilReady(func(kind byte, body []byte) error {
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -132,9 +132,13 @@
 		return err
 	}
 
-	conn, err := Open(context.WithoutCancel(ctx), p.options)
+	conn, err := open(context.WithoutCancel(ctx), p.options)
 	if err != nil {
-		permit.Release()
+		if conn != nil && p.options.OnAbandoned != nil {
+			p.options.OnAbandoned(conn, permit)
+		} else {
+			permit.Release()
+		}
 
 		return err
 	}
--- a/io/backend/pool_test.go
+++ b/io/backend/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"strconv"
@@ -32,8 +33,10 @@
 	listener net.Listener
 	opened   atomic.Int64
 	cancels  atomic.Int64
-	mu       sync.Mutex
-	conns    []net.Conn
+	// lostLogins is the number of further connections whose login the server accepts and whose answers are lost.
+	lostLogins atomic.Int64
+	mu         sync.Mutex
+	conns      []net.Conn
 }
 
 func newServer(t *testing.T) *server {
@@ -82,6 +85,12 @@
 
 	number := s.opened.Add(1)
 
+	if s.lostLogins.Add(-1) >= 0 {
+		_, _ = io.Copy(io.Discard, conn)
+
+		return
+	}
+
 	if message.Parameters["user"] == "refused" {
 		to.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "28000", Message: "refused"})
 		_ = to.Flush()
@@ -552,3 +561,45 @@
 	require.Eventually(t, func() bool { return permits.held.Load() == 0 }, testTimeout, time.Millisecond,
 		"the permit returns once the server has ended the connection")
 }
+
+// TestLostLoginKeepsItsPermit guards against a permit that is released while the server still counts a connection whose
+// login was lost. The next connection would then take the one that the server keeps free for administration.
+func TestLostLoginKeepsItsPermit(t *testing.T) {
+	t.Parallel()
+
+	s := newServer(t)
+	s.lostLogins.Store(1)
+
+	options := s.options()
+	options.ConnectTimeout = 100 * time.Millisecond
+	permits := &countingPermits{limit: 1}
+
+	type abandoned struct {
+		conn   *backend.Conn
+		permit backend.Permit
+	}
+
+	reported := make(chan abandoned, 1)
+	options.OnAbandoned = func(conn *backend.Conn, permit backend.Permit) { reported <- abandoned{conn, permit} }
+	pool := backend.NewPool(options, permits.acquire)
+
+	ctx, cancel := withTestTimeout(t)
+	defer cancel()
+
+	_, err := pool.Get(ctx, backend.Criteria{}, false)
+	require.Equal(t, result.ServerUnreachable, result.CodeOf(err))
+
+	select {
+	case lost := <-reported:
+		require.EqualValues(t, 1, permits.held.Load(), "the server still counts the connection")
+		require.NotNil(t, lost.permit)
+
+		options.ConnectTimeout = testTimeout
+		backend.NewActivityChecker(options).Terminate(lost.conn, lost.permit)
+	default:
+		require.Fail(t, "the connection was not reported as abandoned")
+	}
+
+	require.Eventually(t, func() bool { return permits.held.Load() == 0 }, testTimeout, time.Millisecond,
+		"the permit returns once the server has ended the connection")
+}
