io/backend: terminate lost connections of activity checks

When all connections of a server went silent while a proxy asked it over a short-lived one whether a statement still ran, or to end other connections, that short-lived connection stayed counted at the server until the server noticed by itself.

Cause: a check that failed only closed its own connection. It has no permit and takes the place that the server keeps free for administration, so each lost one left less room, or none, for the requests that end lost connections.

Ruled out: giving checks permits, because the connections in doubt may hold all of them.

A check whose login or query got no answer is now queued for termination like an abandoned connection. A lost request to end others counts as abandoned together with the oldest of them, so that the attempts end after a minute as before. A lost connection that takes the last place of a server can't be ended this way; only the server itself ends it.

Measured: TestLostCheckIsTerminated fails on the code before (no request within 20 s names the lost connection) and passes on this one, 20 of 20 with -race; go test -race -count=1 ./io/backend passes. The fault was found by reading; not seen in a run of whole processes.

--- a/io/backend/activity.go
+++ b/io/backend/activity.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -77,7 +78,7 @@
 func (a *ActivityChecker) HasActiveStatement(ctx context.Context, conn *Conn) (bool, error) {
 	var active bool
 
-	err := a.runOnNewConn(ctx, func(other *Conn, deadline time.Time) error {
+	err := a.runOnNewConn(ctx, time.Now(), func(other *Conn, deadline time.Time) error {
 		rows, _, err := other.Query(deadline, "SELECT count(*) FROM pg_stat_activity WHERE state = 'active' AND "+
 			"application_name = "+quoteLiteral(conn.application))
 		active = len(rows) == 1 && len(rows[0]) == 1 && rows[0][0] != "0"
@@ -95,10 +96,14 @@
 //
 // The permit of the connection is released once the server has ended it, or after abandonedPermitTimeout.
 func (a *ActivityChecker) Terminate(conn *Conn, permit Permit) {
+	a.enqueue(abandonedConn{application: conn.application, permit: permit, since: time.Now()})
+}
+
+func (a *ActivityChecker) enqueue(conn abandonedConn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	a.abandoned = append(a.abandoned, abandonedConn{application: conn.application, permit: permit, since: time.Now()})
+	a.abandoned = append(a.abandoned, conn)
 
 	if !a.terminating {
 		a.terminating = true
@@ -140,7 +145,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), terminateTimeout)
 	defer cancel()
 
-	return a.runOnNewConn(ctx, func(other *Conn, deadline time.Time) error {
+	// A lost connection of this attempt counts as abandoned with the oldest one, so that the attempts end.
+	oldest := slices.MinFunc(batch, func(one, other abandonedConn) int { return one.since.Compare(other.since) })
+
+	return a.runOnNewConn(ctx, oldest.since, func(other *Conn, deadline time.Time) error {
 		return other.Exec(deadline, "SELECT count(pg_terminate_backend(pid)) FROM pg_stat_activity WHERE "+
 			"application_name IN ("+strings.Join(names, ", ")+")")
 	})
@@ -170,17 +178,25 @@
 	}
 }
 
-// runOnNewConn runs a query over a new connection: an open one may be lost like the one that is in doubt.
-func (a *ActivityChecker) runOnNewConn(ctx context.Context, run func(*Conn, time.Time) error) error {
-	other, err := Open(ctx, a.options)
-	if err != nil {
-		return err
+// runOnNewConn runs a query over a new connection: an open one may be lost like the one that is in doubt. A new one that
+// is lost as well is terminated like a connection that was abandoned at the given time.
+func (a *ActivityChecker) runOnNewConn(ctx context.Context, since time.Time, run func(*Conn, time.Time) error) error {
+	other, err := open(ctx, a.options)
+	lost := err != nil && other != nil
+
+	if err == nil {
+		deadline, _ := ctx.Deadline()
+		err = run(other, deadline)
+		lost = other.TxStatus != txStatusIdle
+
+		other.Close()
 	}
-	defer other.Close()
 
-	deadline, _ := ctx.Deadline()
+	if lost {
+		a.enqueue(abandonedConn{application: other.application, since: since})
+	}
 
-	return run(other, deadline)
+	return err
 }
 
 // CloseIdleBefore closes the idle connections that were last used before the given time.
--- a/io/backend/pool_test.go
+++ b/io/backend/pool_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -35,8 +37,14 @@
 	cancels  atomic.Int64
 	// lostLogins is the number of further connections whose login the server accepts and whose answers are lost.
 	lostLogins atomic.Int64
-	mu         sync.Mutex
-	conns      []net.Conn
+	// lostQueries is the number of further queries whose answers are lost, lostNumber the number of the last connection
+	// with a lost answer.
+	lostQueries atomic.Int64
+	lostNumber  atomic.Int64
+	mu          sync.Mutex
+	conns       []net.Conn
+	// terminations are the queries that terminate connections.
+	terminations []string
 }
 
 func newServer(t *testing.T) *server {
@@ -86,6 +94,8 @@
 	number := s.opened.Add(1)
 
 	if s.lostLogins.Add(-1) >= 0 {
+		s.lostNumber.Store(number)
+
 		_, _ = io.Copy(io.Discard, conn)
 
 		return
@@ -114,6 +124,18 @@
 			return
 		}
 
+		if strings.Contains(query.String, "pg_terminate_backend") {
+			s.mu.Lock()
+			s.terminations = append(s.terminations, query.String)
+			s.mu.Unlock()
+		} else if s.lostQueries.Add(-1) >= 0 {
+			s.lostNumber.Store(number)
+
+			_, _ = io.Copy(io.Discard, conn)
+
+			return
+		}
+
 		status := byte('I')
 
 		switch query.String {
@@ -137,6 +159,14 @@
 	}
 }
 
+// hasTerminated reports whether a query has terminated the connection with an application name, given as an SQL literal.
+func (s *server) hasTerminated(application string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.ContainsFunc(s.terminations, func(query string) bool { return strings.Contains(query, application) })
+}
+
 // closeConns closes all connections, like a restart of the server.
 func (s *server) closeConns() {
 	s.mu.Lock()
@@ -603,3 +633,46 @@
 	require.Eventually(t, func() bool { return permits.held.Load() == 0 }, testTimeout, time.Millisecond,
 		"the permit returns once the server has ended the connection")
 }
+
+// TestLostCheckIsTerminated guards against a connection of the ActivityChecker that the server counts after it was lost:
+// it takes the place that the server keeps free for such checks.
+func TestLostCheckIsTerminated(t *testing.T) {
+	t.Parallel()
+
+	s := newServer(t)
+	options := s.options()
+	options.Application = numberedApplication("check/")
+	checker := backend.NewActivityChecker(options)
+
+	ctx, cancel := withTestTimeout(t)
+	defer cancel()
+
+	conn, err := backend.Open(ctx, options)
+	require.NoError(t, err)
+
+	defer conn.Close()
+
+	for name, lose := range map[string]func(){
+		"login": func() { s.lostLogins.Store(1) },
+		"query": func() { s.lostQueries.Store(1) },
+	} {
+		lose()
+
+		checkCtx, stop := context.WithTimeout(ctx, 100*time.Millisecond)
+		_, err := checker.HasActiveStatement(checkCtx, conn)
+
+		stop()
+		require.Error(t, err, name)
+
+		lost := "'check/" + strconv.FormatInt(s.lostNumber.Load(), 10) + "'"
+		require.Eventually(t, func() bool { return s.hasTerminated(lost) }, testTimeout, time.Millisecond,
+			"the connection with the lost %s is terminated", name)
+	}
+}
+
+// numberedApplication returns a function that appends 1, 2 and so on to a prefix.
+func numberedApplication(prefix string) func() string {
+	var count atomic.Int64
+
+	return func() string { return prefix + strconv.FormatInt(count.Add(1), 10) }
+}
