io/backend: hold permit of idle connection until server ends it

Requests were refused with "too many clients already" (53300, code 1309) after idle connections of a primary had gone silent and were closed: by the reaper, for a recall of permits, or because another connection had gone silent at the same time.

Cause: the permit of an idle connection was released as soon as the connection was closed here. A server that did not receive the end, because the network has lost the connection's state, counts it until its own keepalive ends it, and the next connection takes the place that it keeps free for administration.

Ruled out: terminating every closed idle connection with pg_terminate_backend, which takes another connection for each.

Closing sends Terminate as before and waits in the background, for one second at most, until the server has closed its end. Then the permit is released; otherwise the connection and its permit are handed to OnAbandoned.

Measured: TestLostIdleConnectionKeepsItsPermit fails on the code before ("was not reported as abandoned") and passes on this one, 20 of 20 with -race; go test -race -count=1 ./io/backend ./internal/proxy passes.

--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -31,6 +32,9 @@
 	keepaliveInterval = time.Second
 	keepaliveCount    = 3
 
+	// endTimeout bounds the wait for the server to end an idle connection.
+	endTimeout = time.Second
+
 	scramMechanism = "SCRAM-SHA-256"
 )
 
@@ -46,7 +50,8 @@
 	// TLS enables encryption if it is not nil.
 	TLS *tls.Config
 	// OnAbandoned is called for each connection that a Pool closes while the server may still be running a statement of
-	// it, or whose login was not answered in time, and takes over its permit. It may be nil and must not block.
+	// it, whose login was not answered in time, or whose end the server has not confirmed, and takes over its permit. It
+	// may be nil and must not block.
 	OnAbandoned func(*Conn, Permit)
 }
 
@@ -496,19 +501,35 @@
 
 // Close closes the connection and releases its permit.
 func (c *Conn) Close() {
+	c.sendTerminate()
+
+	_ = c.net.Close()
+
+	if c.permit != nil {
+		c.permit.Release()
+	}
+}
+
+// sendTerminate tells the server that the connection ends. The server would notice the end without this message too, but
+// not that it is an orderly one.
+func (c *Conn) sendTerminate() {
 	c.Taint()
 
-	// The server would notice the end without this message too, but not that it is an orderly one.
 	_ = c.net.SetWriteDeadline(time.Now().Add(time.Second))
 	if encoded, err := (&pgproto3.Terminate{}).Encode(nil); err == nil {
 		_, _ = c.net.Write(encoded)
 	}
+}
 
-	_ = c.net.Close()
+// awaitEnd closes the connection after sendTerminate and reports whether the server has ended it. A server that has not
+// received the message, because the network has lost the connection's state, keeps counting it.
+func (c *Conn) awaitEnd() bool {
+	defer func() { _ = c.net.Close() }()
 
-	if c.permit != nil {
-		c.permit.Release()
-	}
+	_ = c.net.SetReadDeadline(time.Now().Add(endTimeout))
+	_, err := io.Copy(io.Discard, c.net)
+
+	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 func decodeError(body []byte) error {
--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -363,23 +363,47 @@
 	return true
 }
 
+// closeConn closes a connection. Its permit is released once the server has ended the connection, in the background if
+// it is idle.
 func (p *Pool) closeConn(conn *Conn) {
+	abandon := p.options.OnAbandoned
+	if abandon == nil {
+		conn.Close()
+		p.forget()
+
+		return
+	}
+
 	var permit Permit
 
-	mayBeWorking := conn.TxStatus != txStatusIdle && p.options.OnAbandoned != nil
-	if mayBeWorking {
-		permit, conn.permit = conn.permit, nil
+	permit, conn.permit = conn.permit, nil
+
+	if conn.TxStatus != txStatusIdle {
+		conn.Close()
+		p.forget()
+		abandon(conn, permit)
+
+		return
 	}
 
-	conn.Close()
+	conn.sendTerminate()
+	p.forget()
 
+	go func() {
+		if conn.awaitEnd() {
+			permit.Release()
+		} else {
+			abandon(conn, permit)
+		}
+	}()
+}
+
+// forget stops counting a connection as open.
+func (p *Pool) forget() {
 	p.mu.Lock()
-	p.open--
-	p.mu.Unlock()
+	defer p.mu.Unlock()
 
-	if mayBeWorking {
-		p.options.OnAbandoned(conn, permit)
-	}
+	p.open--
 }
 
 func errPoolClosed(options Options) error {
--- a/io/backend/pool_test.go
+++ b/io/backend/pool_test.go
@@ -41,8 +41,10 @@
 	// with a lost answer.
 	lostQueries atomic.Int64
 	lostNumber  atomic.Int64
-	mu          sync.Mutex
-	conns       []net.Conn
+	// losesEnds is true if the end of a connection does not reach the server.
+	losesEnds atomic.Bool
+	mu        sync.Mutex
+	conns     []net.Conn
 	// terminations are the queries that terminate connections.
 	terminations []string
 }
@@ -121,6 +123,10 @@
 
 		query, ok := message.(*pgproto3.Query)
 		if !ok {
+			if s.losesEnds.Load() {
+				_, _ = io.Copy(io.Discard, conn)
+			}
+
 			return
 		}
 
@@ -676,3 +682,45 @@
 
 	return func() string { return prefix + strconv.FormatInt(count.Add(1), 10) }
 }
+
+// TestLostIdleConnectionKeepsItsPermit guards against a permit that is released when a lost idle connection is closed,
+// which the server still counts, and against a connection that is reported although the server has ended it.
+func TestLostIdleConnectionKeepsItsPermit(t *testing.T) {
+	t.Parallel()
+
+	s := newServer(t)
+	options := s.options()
+	permits := &countingPermits{limit: 1}
+	reported := make(chan backend.Permit, 1)
+	options.OnAbandoned = func(_ *backend.Conn, permit backend.Permit) { reported <- permit }
+	pool := backend.NewPool(options, permits.acquire)
+
+	ctx, cancel := withTestTimeout(t)
+	defer cancel()
+
+	for _, lost := range []bool{false, true} {
+		conn, err := pool.Get(ctx, backend.Criteria{}, false)
+		require.NoError(t, err)
+		pool.Put(conn)
+
+		s.losesEnds.Store(lost)
+		require.Equal(t, 1, pool.Shrink(1))
+
+		if !lost {
+			require.Eventually(t, func() bool { return permits.held.Load() == 0 }, testTimeout, time.Millisecond,
+				"the permit returns once the server has ended the connection")
+
+			continue
+		}
+
+		select {
+		case permit := <-reported:
+			require.EqualValues(t, 1, permits.held.Load(), "the server still counts the connection")
+			permit.Release()
+		case <-ctx.Done():
+			require.Fail(t, "the connection was not reported as abandoned")
+		}
+	}
+
+	require.Empty(t, reported)
+}
