--- a/io/backend/pool.go
+++ b/io/backend/pool.go
@@ -132,9 +132,13 @@
 		return err
 	}
 
-	conn, err := Open(context.WithoutCancel(ctx), p.options)
+	conn, err := open(context.WithoutCancel(ctx), p.options)
 	if err != nil {
-		permit.Release()
+		if conn != nil && p.options.OnAbandoned != nil {
+			p.options.OnAbandoned(conn, permit)
+		} else {
+			permit.Release()
+		}
 
 		return err
 	}
@@ -359,23 +363,47 @@
 	return true
 }
 
+// closeConn closes a connection. Its permit is released once the server has ended the connection, in the background if
+// it is idle.
 func (p *Pool) closeConn(conn *Conn) {
+	abandon := p.options.OnAbandoned
+	if abandon == nil {
+		conn.Close()
+		p.forget()
+
+		return
+	}
+
 	var permit Permit
 
-	mayBeWorking := conn.TxStatus != txStatusIdle && p.options.OnAbandoned != nil
-	if mayBeWorking {
-		permit, conn.permit = conn.permit, nil
+	permit, conn.permit = conn.permit, nil
+
+	if conn.TxStatus != txStatusIdle {
+		conn.Close()
+		p.forget()
+		abandon(conn, permit)
+
+		return
 	}
 
-	conn.Close()
+	conn.sendTerminate()
+	p.forget()
+
+	go func() {
+		if conn.awaitEnd() {
+			permit.Release()
+		} else {
+			abandon(conn, permit)
+		}
+	}()
+}
 
+// forget stops counting a connection as open.
+func (p *Pool) forget() {
 	p.mu.Lock()
-	p.open--
-	p.mu.Unlock()
+	defer p.mu.Unlock()
 
-	if mayBeWorking {
-		p.options.OnAbandoned(conn, permit)
-	}
+	p.open--
 }
 
 func errPoolClosed(options Options) error {
--- a/io/backend/pool_test.go
+++ b/io/backend/pool_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -32,8 +35,18 @@
 	listener net.Listener
 	opened   atomic.Int64
 	cancels  atomic.Int64
-	mu       sync.Mutex
-	conns    []net.Conn
+	// lostLogins is the number of further connections whose login the server accepts and whose answers are lost.
+	lostLogins atomic.Int64
+	// lostQueries is the number of further queries whose answers are lost, lostNumber the number of the last connection
+	// with a lost answer.
+	lostQueries atomic.Int64
+	lostNumber  atomic.Int64
+	// losesEnds is true if the end of a connection does not reach the server.
+	losesEnds atomic.Bool
+	mu        sync.Mutex
+	conns     []net.Conn
+	// terminations are the queries that terminate connections.
+	terminations []string
 }
 
 func newServer(t *testing.T) *server {
@@ -82,6 +95,14 @@
 
 	number := s.opened.Add(1)
 
+	if s.lostLogins.Add(-1) >= 0 {
+		s.lostNumber.Store(number)
+
+		_, _ = io.Copy(io.Discard, conn)
+
+		return
+	}
+
 	if message.Parameters["user"] == "refused" {
 		to.Send(&pgproto3.ErrorResponse{Severity: "FATAL", Code: "28000", Message: "refused"})
 		_ = to.Flush()
@@ -102,6 +123,22 @@
 
 		query, ok := message.(*pgproto3.Query)
 		if !ok {
+			if s.losesEnds.Load() {
+				_, _ = io.Copy(io.Discard, conn)
+			}
+
+			return
+		}
+
+		if strings.Contains(query.String, "pg_terminate_backend") {
+			s.mu.Lock()
+			s.terminations = append(s.terminations, query.String)
+			s.mu.Unlock()
+		} else if s.lostQueries.Add(-1) >= 0 {
+			s.lostNumber.Store(number)
+
+			_, _ = io.Copy(io.Discard, conn)
+
 			return
 		}
 
@@ -128,6 +165,14 @@
 	}
 }
 
+// hasTerminated reports whether a query has terminated the connection with an application name, given as an SQL literal.
+func (s *server) hasTerminated(application string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.ContainsFunc(s.terminations, func(query string) bool { return strings.Contains(query, application) })
+}
+
 // closeConns closes all connections, like a restart of the server.
 func (s *server) closeConns() {
 	s.mu.Lock()
@@ -552,3 +597,130 @@
 	require.Eventually(t, func() bool { return permits.held.Load() == 0 }, testTimeout, time.Millisecond,
 		"the permit returns once the server has ended the connection")
 }
+
+// TestLostLoginKeepsItsPermit guards against a permit that is released while the server still counts a connection whose
+// login was lost. The next connection would then take the one that the server keeps free for administration.
+func TestLostLoginKeepsItsPermit(t *testing.T) {
+	t.Parallel()
+
+	s := newServer(t)
+	s.lostLogins.Store(1)
+
+	options := s.options()
+	options.ConnectTimeout = 100 * time.Millisecond
+	permits := &countingPermits{limit: 1}
+
+	type abandoned struct {
+		conn   *backend.Conn
+		permit backend.Permit
+	}
+
+	reported := make(chan abandoned, 1)
+	options.OnAbandoned = func(conn *backend.Conn, permit backend.Permit) { reported <- abandoned{conn, permit} }
+	pool := backend.NewPool(options, permits.acquire)
+
+	ctx, cancel := withTestTimeout(t)
+	defer cancel()
+
+	_, err := pool.Get(ctx, backend.Criteria{}, false)
+	require.Equal(t, result.ServerUnreachable, result.CodeOf(err))
+
+	select {
+	case lost := <-reported:
+		require.EqualValues(t, 1, permits.held.Load(), "the server still counts the connection")
+		require.NotNil(t, lost.permit)
+
+		options.ConnectTimeout = testTimeout
+		backend.NewActivityChecker(options).Terminate(lost.conn, lost.permit)
+	default:
+		require.Fail(t, "the connection was not reported as abandoned")
+	}
+
+	require.Eventually(t, func() bool { return permits.held.Load() == 0 }, testTimeout, time.Millisecond,
+		"the permit returns once the server has ended the connection")
+}
+
+// TestLostCheckIsTerminated guards against a connection of the ActivityChecker that the server counts after it was lost:
+// it takes the place that the server keeps free for such checks.
+func TestLostCheckIsTerminated(t *testing.T) {
+	t.Parallel()
+
+	s := newServer(t)
+	options := s.options()
+	options.Application = numberedApplication("check/")
+	checker := backend.NewActivityChecker(options)
+
+	ctx, cancel := withTestTimeout(t)
+	defer cancel()
+
+	conn, err := backend.Open(ctx, options)
+	require.NoError(t, err)
+
+	defer conn.Close()
+
+	for name, lose := range map[string]func(){
+		"login": func() { s.lostLogins.Store(1) },
+		"query": func() { s.lostQueries.Store(1) },
+	} {
+		lose()
+
+		checkCtx, stop := context.WithTimeout(ctx, 100*time.Millisecond)
+		_, err := checker.HasActiveStatement(checkCtx, conn)
+
+		stop()
+		require.Error(t, err, name)
+
+		lost := "'check/" + strconv.FormatInt(s.lostNumber.Load(), 10) + "'"
+		require.Eventually(t, func() bool { return s.hasTerminated(lost) }, testTimeout, time.Millisecond,
+			"the connection with the lost %s is terminated", name)
+	}
+}
+
+// numberedApplication returns a function that appends 1, 2 and so on to a prefix.
+func numberedApplication(prefix string) func() string {
+	var count atomic.Int64
+
+	return func() string { return prefix + strconv.FormatInt(count.Add(1), 10) }
+}
+
+// TestLostIdleConnectionKeepsItsPermit guards against a permit that is released when a lost idle connection is closed,
+// which the server still counts, and against a connection that is reported although the server has ended it.
+func TestLostIdleConnectionKeepsItsPermit(t *testing.T) {
+	t.Parallel()
+
+	s := newServer(t)
+	options := s.options()
+	permits := &countingPermits{limit: 1}
+	reported := make(chan backend.Permit, 1)
+	options.OnAbandoned = func(_ *backend.Conn, permit backend.Permit) { reported <- permit }
+	pool := backend.NewPool(options, permits.acquire)
+
+	ctx, cancel := withTestTimeout(t)
+	defer cancel()
+
+	for _, lost := range []bool{false, true} {
+		conn, err := pool.Get(ctx, backend.Criteria{}, false)
+		require.NoError(t, err)
+		pool.Put(conn)
+
+		s.losesEnds.Store(lost)
+		require.Equal(t, 1, pool.Shrink(1))
+
+		if !lost {
+			require.Eventually(t, func() bool { return permits.held.Load() == 0 }, testTimeout, time.Millisecond,
+				"the permit returns once the server has ended the connection")
+
+			continue
+		}
+
+		select {
+		case permit := <-reported:
+			require.EqualValues(t, 1, permits.held.Load(), "the server still counts the connection")
+			permit.Release()
+		case <-ctx.Done():
+			require.Fail(t, "the connection was not reported as abandoned")
+		}
+	}
+
+	require.Empty(t, reported)
+}
