internal/proxy: answer callers at the limit of a drain before a cancel request is delivered

Callers whose statement still ran when timing.drain_timeout passed saw their connection close without an answer if the backend server accepted connections but did not handle cancel requests (a frozen server). The outcome of a write was then unknown, and nobody said so.

Cause: at the limit the session cancels its statement and waits up to 5 s (cancelTimeout) until the server has closed the connection of the cancel request; the caller's connection is closed after 2 s (endGrace). The wait protects a later statement on the same connection, and an ended session has none.

The session now sends the answer first and waits for the delivery before it leaves the list of sessions, so that the process does not end earlier than before. Ruled out: servers that do handle cancel requests; these callers got 1401 or 1305 before the change too.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -128,7 +128,8 @@
 }
 
 // cancelOnDone cancels the statement on the backend server when the request's context ends. The returned function
-// stops that and waits until a cancel request in progress has been delivered, so that it can't hit a later statement.
+// stops that and waits until a cancel request in progress has been delivered, so that it can't hit a later statement. It
+// does not wait in a session that ends: no statement follows, and the caller must be told in time.
 //
 //nolint:contextcheck // The request to cancel must outlive the context that ends.
 func (s *session) cancelOnDone(ctx context.Context, conn *backend.Conn) func() {
@@ -170,7 +171,10 @@
 		s.mu.Unlock()
 
 		if delivered != nil {
-			<-delivered
+			select {
+			case <-delivered:
+			case <-s.terminated:
+			}
 		}
 	}
 }
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -22,6 +22,8 @@
 	opened atomic.Int64
 	// cancels counts cancel requests.
 	cancels atomic.Int64
+	// holdCancels keeps the connections of cancel requests open until it is closed, if it is set.
+	holdCancels chan struct{}
 
 	mu      sync.Mutex
 	queries []string
@@ -88,6 +90,10 @@
 	if _, cancel := startup.(*pgproto3.CancelRequest); cancel {
 		s.cancels.Add(1)
 
+		if s.holdCancels != nil {
+			<-s.holdCancels
+		}
+
 		return
 	}
 
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -97,6 +97,8 @@
 	// cancelDelivered is closed when a cancel request to the backend server has been delivered.
 	cancelDelivered chan struct{}
 	ended           bool
+	// terminated is closed when ended is set.
+	terminated chan struct{}
 }
 
 // transaction is the state of the caller's open transaction.
@@ -115,12 +117,13 @@
 	return &session{
 		server: server, caller: accepted.Conn, target: to,
 		user: accepted.Parameters["user"], startupParameters: accepted.Parameters,
-		prepared: make(map[string]*preparedStatement), status: statusIdle,
+		prepared: make(map[string]*preparedStatement), status: statusIdle, terminated: make(chan struct{}),
 	}
 }
 
 // run sends the greeting and serves the caller until the session ends.
 func (s *session) run() {
+	defer s.awaitCancelDelivery()
 	defer s.releaseLease(true)
 
 	if err := s.sendGreeting(); err != nil {
@@ -448,7 +451,10 @@
 // terminate ends the session within endGrace, whatever it is doing. It may be called from any goroutine.
 func (s *session) terminate() {
 	s.mu.Lock()
-	s.ended = true
+	if !s.ended {
+		s.ended = true
+		close(s.terminated)
+	}
 
 	if s.cancelRequest != nil {
 		s.cancelRequest(errSessionEnded)
@@ -464,6 +470,17 @@
 	time.AfterFunc(endGrace, s.caller.Close)
 }
 
+// awaitCancelDelivery waits until a cancel request in progress has been delivered.
+func (s *session) awaitCancelDelivery() {
+	s.mu.Lock()
+	delivered := s.cancelDelivered
+	s.mu.Unlock()
+
+	if delivered != nil {
+		<-delivered
+	}
+}
+
 // isEnded reports whether terminate was called.
 func (s *session) isEnded() bool {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/proxy/stop_test.go
@@ -0,0 +1,92 @@
+package proxy_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a caller whose connection ends without an answer when the time limit of a drain passes. The server holds
+// the statement that begins with the given text back.
+func TestDrainLimitAnswersEveryCaller(t *testing.T) {
+	tests := []struct {
+		name        string
+		statements  []string
+		held        string
+		holdCancels bool
+		code        string
+	}{
+		{"write", []string{"INSERT INTO t VALUES (1)"}, "INSERT INTO t", false, "1401"},
+		{"write on a server that accepts no cancel request", []string{"INSERT INTO t VALUES (1)"}, "INSERT INTO t", true, "1401"},
+		{"read", []string{"SELECT v FROM t"}, "SELECT v", false, "1305"},
+		{"read on a server that accepts no cancel request", []string{"SELECT v FROM t"}, "SELECT v", true, "1305"},
+	}
+
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			testEnd, received := make(chan struct{}), make(chan struct{}, 1)
+			defer close(testEnd)
+
+			server := newScriptedServer(t, func(to *pgproto3.Backend, sql string) bool {
+				if strings.HasPrefix(sql, test.held) {
+					received <- struct{}{}
+					<-testEnd
+
+					return false
+				}
+
+				to.Send(&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")})
+
+				status := byte('I')
+				if strings.HasPrefix(sql, "BEGIN") || strings.HasPrefix(sql, "INSERT INTO t") || strings.HasPrefix(sql, "UPDATE") {
+					status = 'T'
+				}
+
+				to.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+
+				return true
+			})
+
+			if test.holdCancels {
+				server.holdCancels = testEnd
+			}
+
+			c := newCluster(t, options{scripts: []*scriptedServer{server}})
+			conn := c.connect("p1", "").PgConn()
+			failed := make(chan error, 1)
+
+			go func() {
+				for _, sql := range test.statements {
+					if _, err := conn.Exec(testContext(t), sql).ReadAll(); err != nil {
+						failed <- err
+
+						return
+					}
+				}
+
+				failed <- nil
+			}()
+
+			select {
+			case <-received:
+			case err := <-failed:
+				require.Fail(t, "the statement was not held back", "%v", err)
+			}
+
+			ended, cancel := context.WithCancel(context.Background())
+			cancel()
+
+			drained := make(chan error, 1)
+
+			go func() { drained <- c.proxies["p1"].Drain(ended) }()
+
+			err := <-failed
+			assert.Equal(t, test.code, codeOf(err), "%v", err)
+			require.ErrorIs(t, <-drained, context.Canceled)
+		})
+	}
+}
