internal/proxy: interrupt the proxy's own statements at the limit of a drain

Callers whose request waited for a statement of the proxy itself when timing.drain_timeout passed got no answer or one without a code: SHOW almondgrade.outcome and a transaction refused for lack of a slot ended with a closed connection, and a named request ended with an i/o timeout (SQLSTATE XX000). The process ended up to 30 s late, because it waited for these statements.

Cause: the end of a session sets a deadline in the past on the connection that runs the caller's statement. Connections that run the proxy's own statements (name of a request, its record, an outcome, ROLLBACK after a refusal) were not registered, and each statement of the proxy set a new deadline, so that a deadline in the past could be overwritten between two of them.

The connection is now registered during these statements, and backend.Conn.Abort is final: no later deadline replaces it. Before the COMMIT of a named request nothing has run, so the answer is 1305; after it, it stays 1401. Ruled out: statements that set up a connection, which have 1 s each and end before the caller's connection is closed.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -138,8 +138,7 @@
 	s.cancelDelivered = nil
 
 	if s.ended {
-		conn.Taint()
-		_ = conn.SetDeadline(time.Unix(1, 0))
+		conn.Abort()
 	}
 	s.mu.Unlock()
 
@@ -264,7 +263,7 @@
 			return 0, err
 		}
 
-		if err := x.session.extendReadDeadline(x.conn, limit); err != nil {
+		if err := x.conn.SetReadDeadline(limit); err != nil {
 			return 0, err
 		}
 	}
@@ -319,18 +318,6 @@
 	return nil
 }
 
-// extendReadDeadline sets a later read deadline on a connection, unless the session was ended.
-func (s *session) extendReadDeadline(conn *backend.Conn, deadline time.Time) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	if s.ended {
-		return errSessionEnded
-	}
-
-	return conn.SetReadDeadline(deadline)
-}
-
 // relayMessage relays one message to the caller.
 func (x *exchange) relayMessage(kind byte) error {
 	if x.plan != nil {
--- a/internal/proxy/helpers_test.go
+++ b/internal/proxy/helpers_test.go
@@ -51,6 +51,7 @@
 	confirmCalls       atomic.Int64
 	forwardCancelCalls atomic.Int64
 	reportFailureCalls atomic.Int64
+	slotCalls          atomic.Int64
 	slots              []chan struct{}
 	connections        []chan struct{}
 }
@@ -408,6 +409,8 @@
 }
 
 func (f *fakeCoordination) AcquireSlot(ctx context.Context, server string, _ bool) (proxy.Permit, error) {
+	f.cluster.slotCalls.Add(1)
+
 	return f.acquire(ctx, f.cluster.slots, server)
 }
 
--- a/internal/proxy/namedrequest.go
+++ b/internal/proxy/namedrequest.go
@@ -98,7 +98,11 @@
 		return false, &failure{err: err, permanent: true}
 	}
 
+	stop := s.abortOnTermination(x.conn)
 	recorded, err := s.insertRequestName(x.conn, x.request.deadline, begin, name, "NULL")
+
+	stop()
+
 	if err != nil {
 		return false, x.namedRequestFailure(err)
 	}
@@ -143,6 +147,10 @@
 // namedRequestFailure describes a failure before the request itself was sent. Nothing was committed, so the request has
 // not run.
 func (x *exchange) namedRequestFailure(err error) *failure {
+	if x.session.isEnded() {
+		return &failure{err: errDraining(), permanent: true}
+	}
+
 	failed := &failure{err: err}
 
 	var server *backend.ServerError
@@ -320,11 +328,19 @@
 		return nil
 	}
 
-	if err := x.conn.Exec(x.request.deadline, x.session.recordSQL(tagCommit)); err != nil {
-		return &failure{err: err, permanent: true}
+	stop := x.session.abortOnTermination(x.conn)
+	err := x.conn.Exec(x.request.deadline, x.session.recordSQL(tagCommit))
+
+	stop()
+
+	switch {
+	case err == nil:
+		return nil
+	case x.session.isEnded():
+		err = errDraining()
 	}
 
-	return nil
+	return &failure{err: err, permanent: true}
 }
 
 // recordSQL returns the statement that records the command tags so far, followed by the given ones.
@@ -441,12 +457,20 @@
 		return "", 0, result.New(result.ServerUnreachable, "can't query the outcome: %w", err)
 	}
 
+	stop := s.abortOnTermination(lease.conn)
 	answer, err := s.insertRequestName(lease.conn, deadline, tagBegin, s.lastRequestName, quoteLiteral(recordCancelled))
+
 	if err == nil && answer == "" {
 		answer = recordCancelled
 		err = lease.conn.Exec(deadline, tagCommit)
 	}
 
+	stop()
+
+	if err != nil && s.isEnded() {
+		return "", 0, errDraining()
+	}
+
 	if err != nil && backend.SQLState(err) == "" && result.CodeOf(err) == result.OK {
 		err = result.New(result.ServerUnreachable, "can't query the outcome: %w", err)
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -85,7 +85,7 @@
 	// sessionsEnded is closed when the proxy drains and the last session has ended.
 	sessionsEnded chan struct{}
 	// stop cancels the context stopped, which ends everything that still runs.
-	stop    context.CancelFunc
+	stop    context.CancelCauseFunc
 	stopped context.Context
 }
 
@@ -126,7 +126,7 @@
 		sessions:      make(map[uint32]*session),
 		sessionsEnded: make(chan struct{}),
 	}
-	server.stopped, server.stop = context.WithCancel(context.Background())
+	server.stopped, server.stop = context.WithCancelCause(context.Background())
 
 	return server
 }
@@ -474,7 +474,7 @@
 func (s *Server) closeNow() {
 	s.mu.Lock()
 	s.draining.Store(true)
-	s.stop()
+	s.stop(errSessionEnded)
 
 	if len(s.sessions) == 0 {
 		s.closeSessionsEnded()
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -419,9 +419,13 @@
 	s.parameters.rollback()
 
 	if s.lease != nil {
+		stop := s.abortOnTermination(s.lease.conn)
+
 		if err := s.lease.conn.Exec(time.Now().Add(endGrace), "ROLLBACK"); err != nil {
 			s.lease.conn.Taint()
 		}
+
+		stop()
 	}
 
 	s.releaseLease(s.pinned && s.lease != nil && !s.lease.conn.Reusable())
@@ -461,8 +465,7 @@
 	}
 
 	if s.runningConn != nil {
-		s.runningConn.Taint()
-		_ = s.runningConn.SetDeadline(time.Unix(1, 0))
+		s.runningConn.Abort()
 	}
 	s.mu.Unlock()
 
@@ -470,6 +473,26 @@
 	time.AfterFunc(endGrace, s.caller.Close)
 }
 
+// abortOnTermination makes terminate abort a connection on which the session runs a statement of its own. The returned
+// function ends that.
+func (s *session) abortOnTermination(conn *backend.Conn) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.runningConn = conn
+
+	if s.ended {
+		conn.Abort()
+	}
+
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+
+		s.runningConn = nil
+	}
+}
+
 // awaitCancelDelivery waits until a cancel request in progress has been delivered.
 func (s *session) awaitCancelDelivery() {
 	s.mu.Lock()
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -24,6 +24,10 @@
 		{"write on a server that accepts no cancel request", []string{"INSERT INTO t VALUES (1)"}, "INSERT INTO t", true, "1401"},
 		{"read", []string{"SELECT v FROM t"}, "SELECT v", false, "1305"},
 		{"read on a server that accepts no cancel request", []string{"SELECT v FROM t"}, "SELECT v", true, "1305"},
+		{"name of a request", []string{"SET almondgrade.request = 'a'", "INSERT INTO t VALUES (1)"}, "BEGIN", false, "1305"},
+		{"commit of a named request", []string{"SET almondgrade.request = 'a'", "INSERT INTO t VALUES (1)"}, "COMMIT", false, "1401"},
+		{"commit of a named transaction", []string{"SET almondgrade.request = 'a'", "BEGIN", "INSERT INTO t VALUES (1)", "COMMIT"}, "UPDATE", false, "1305"},
+		{"query of an outcome", []string{"SET almondgrade.request = 'a'", "SHOW almondgrade.outcome"}, "BEGIN", false, "1305"},
 	}
 
 	for _, test := range tests {
@@ -90,3 +94,46 @@
 		})
 	}
 }
+
+// Guards against a caller whose connection ends without an answer when the time limit of a drain passes while its
+// transaction waits for a slot, and the server does not answer the ROLLBACK of the proxy.
+func TestDrainLimitAnswersATransactionThatWaitsForASlot(t *testing.T) {
+	testEnd := make(chan struct{})
+	defer close(testEnd)
+
+	server := newScriptedServer(t, func(to *pgproto3.Backend, sql string) bool {
+		if sql == "ROLLBACK" {
+			<-testEnd
+
+			return false
+		}
+
+		to.Send(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
+		to.Send(&pgproto3.ReadyForQuery{TxStatus: 'T'})
+
+		return true
+	})
+	c := newCluster(t, options{scripts: []*scriptedServer{server}, slots: 1})
+	conn := c.connect("p1", "")
+	c.exec(conn, "BEGIN READ ONLY")
+	c.takeAllPermits(c.slots[0])
+
+	defer c.releaseAllPermits(c.slots[0])
+
+	acquired := c.slotCalls.Load()
+	failed := make(chan error, 1)
+
+	go func() {
+		_, err := conn.PgConn().Exec(testContext(t), "SELECT v FROM t").ReadAll()
+		failed <- err
+	}()
+
+	eventually(t, "the statement waits for a slot", func() bool { return c.slotCalls.Load() > acquired })
+
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.ErrorIs(t, c.proxies["p1"].Drain(ended), context.Canceled)
+
+	err := <-failed
+	assert.Equal(t, "1305", codeOf(err), "%v", err)
+}
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -70,8 +71,8 @@
 	return ""
 }
 
-// Conn is a data connection to a backend server. One goroutine may read while another writes; Cancel and Taint may be
-// called by any goroutine.
+// Conn is a data connection to a backend server. One goroutine may read while another writes; Abort, Cancel and Taint
+// may be called by any goroutine.
 type Conn struct {
 	*wire.Reader
 	*wire.Writer
@@ -102,8 +103,15 @@
 	tainted     atomic.Bool
 	permit      Permit
 	lastUsed    time.Time
+
+	// deadlineMu orders Abort and changes of the deadline.
+	deadlineMu sync.Mutex
+	aborted    bool
 }
 
+// ErrAborted is returned when a deadline is set after Conn.Abort.
+var ErrAborted = errors.New("the connection was aborted")
+
 // Open connects to a server and logs in. Its errors carry result.ServerUnreachable.
 func Open(ctx context.Context, options Options) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, options.ConnectTimeout)
@@ -400,12 +408,34 @@
 
 // SetDeadline sets the deadline of reads and writes.
 func (c *Conn) SetDeadline(deadline time.Time) error {
-	return c.net.SetDeadline(deadline)
+	return c.changeDeadline(c.net.SetDeadline, deadline)
 }
 
 // SetReadDeadline sets the deadline of reads.
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
-	return c.net.SetReadDeadline(deadline)
+	return c.changeDeadline(c.net.SetReadDeadline, deadline)
+}
+
+func (c *Conn) changeDeadline(set func(time.Time) error, deadline time.Time) error {
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+
+	if c.aborted {
+		return ErrAborted
+	}
+
+	return set(deadline)
+}
+
+// Abort makes current and later reads and writes fail, and taints the connection. It may be called by any goroutine.
+func (c *Conn) Abort() {
+	c.Taint()
+
+	c.deadlineMu.Lock()
+	defer c.deadlineMu.Unlock()
+
+	c.aborted = true
+	_ = c.net.SetDeadline(time.Unix(1, 0))
 }
 
 // Taint marks the connection as not reusable, so that the pool closes it.
