internal/proxy: read unread statements before a session's connection is closed

Callers that send statements ahead lost the answer to a statement that had run, and the FATAL message after it, when their proxy was stopped: they saw "connection reset by peer". For a write the outcome was then unknown, although the proxy had confirmed it.

Cause: a draining proxy ends the session after the statement in progress and closes the connection. If it holds unread bytes of the caller, the kernel resets the connection and discards what it has not delivered yet. Only protocol errors were followed by Linger.

Every FATAL message is now followed by Linger (at most 1 s, ends with the caller's close), before the session leaves the list of sessions, because the end of the process closes the connection as well. A drain takes up to 1 s longer if callers do not react to the message. Ruled out: answers that the proxy itself had not sent (they are flushed before the FATAL message).

--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -227,15 +227,13 @@
 	}
 
 	s.sendFatal(err)
-
-	if code := result.CodeOf(err); code == result.Protocol || code == result.TooLarge {
-		s.caller.Linger()
-	}
 }
 
+// sendFatal sends the last error. The caller may have sent statements that are still unread.
 func (s *session) sendFatal(err error) {
 	s.server.counters.countError(err)
 	s.caller.SendFatal(errorResponse(err))
+	s.caller.Linger()
 }
 
 // handleMessage serves one message. Its errors end the session.
--- a/internal/proxy/stop_test.go
+++ b/internal/proxy/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"testing"
 
@@ -137,3 +138,86 @@
 	err := <-failed
 	assert.Equal(t, "1305", codeOf(err), "%v", err)
 }
+
+// Guards against the end of an answer that is lost because the connection is closed while later statements of the caller are unread.
+// The caller sends statements ahead and reads the answer to the first one only after the proxy has ended the session.
+func TestDrainKeepsAnAnswerBeforeUnreadStatements(t *testing.T) {
+	const rows, rowBytes = 4, 32 << 10
+
+	begun := make(chan struct{}, 1)
+	finish := make(chan struct{})
+	server := newScriptedServer(t, func(to *pgproto3.Backend, _ string) bool {
+		begun <- struct{}{}
+		<-finish
+		sendRowDescription(to)
+
+		for range rows {
+			sendRow(to, strings.Repeat("x", rowBytes))
+		}
+
+		return sendComplete(to, "SELECT 4")
+	})
+	c := newCluster(t, options{scripts: []*scriptedServer{server}})
+	conn, err := net.Dial("tcp", c.proxies["p1"].address)
+	require.NoError(t, err)
+
+	defer conn.Close()
+
+	// Part of the answer stays with the proxy until the caller reads.
+	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(rowBytes))
+
+	caller := pgproto3.NewFrontend(conn, conn)
+	caller.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "app", "database": "app"}})
+	require.NoError(t, caller.Flush())
+	receiveUntilReady(t, caller)
+
+	caller.Send(&pgproto3.Query{String: "SELECT v FROM t"})
+	require.NoError(t, caller.Flush())
+	<-begun
+
+	// More than the proxy's read buffer holds.
+	caller.Send(&pgproto3.Query{String: "INSERT INTO t VALUES ('" + strings.Repeat("y", 256<<10) + "')"})
+	require.NoError(t, caller.Flush())
+
+	drained := make(chan error, 1)
+
+	go func() { drained <- c.proxies["p1"].Drain(testContext(t)) }()
+
+	eventually(t, "the proxy drains", c.proxies["p1"].Draining)
+	close(finish)
+	eventually(t, "the proxy has sent the answer", func() bool { return c.proxies["p1"].SessionCount() == 0 })
+
+	received := 0
+
+	for {
+		message, err := caller.Receive()
+		require.NoError(t, err, "after %d rows", received)
+
+		if _, row := message.(*pgproto3.DataRow); row {
+			received++
+		}
+
+		if failure, ended := message.(*pgproto3.ErrorResponse); ended {
+			assert.Equal(t, "57P01", failure.Code)
+
+			break
+		}
+	}
+
+	assert.Equal(t, rows, received)
+	require.NoError(t, <-drained)
+	assert.Equal(t, []string{"SELECT v FROM t"}, server.callerQueries())
+}
+
+func receiveUntilReady(t *testing.T, caller *pgproto3.Frontend) {
+	t.Helper()
+
+	for {
+		message, err := caller.Receive()
+		require.NoError(t, err)
+
+		if _, ready := message.(*pgproto3.ReadyForQuery); ready {
+			return
+		}
+	}
+}
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -165,7 +165,7 @@
 }
 
 // Linger reads and discards what the caller still sends, for at most one second. Otherwise closing a connection with
-// unread bytes would reset it, and the caller could lose the error that was sent last.
+// unread bytes would reset it, and the caller could lose the answer and the error that were sent last.
 func (c *Conn) Linger() {
 	linger(c.net)
 }
