internal/proxy: answer callers that are logging in when the proxy drains

Callers that were logging in while the proxy stopped saw their connection close without an answer, in the middle of the SCRAM exchange too, when no session was left. None of their statements could run: a session is registered under the lock that Drain takes, and is refused once the proxy drains.

Cause: Drain waited for sessions only. Logins and cancel requests in progress were not counted, so the process ended first.

Drain now ends the wait for callers that have not logged in, who get 1305, and returns when the last connection of any kind has ended. caller.Accept takes a context for that. The refusal of a login is followed by Linger, because the caller's next message may be unread. Ruled out: waiting for logins to finish, which a silent caller would delay by 10 s (startupTimeout). Not covered: callers that the kernel has accepted and the process has not, and TLS handshakes in progress; both are closed before anything was answered.

TestStopOfProxyAnswersCallersThatLogIn (whole processes, 4 stages of a login): before, all 4 callers got an unexpected EOF in 1 of 1 runs; now 4 of 4 runs pass with 1305 for each. go test -race -count=1 of internal/proxy and io/caller and the TestStopOfProxy* tests of internal/systemtest pass.

--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -77,13 +77,19 @@
 	// parameters are those that a backend server reported at login; new callers get them.
 	parameters atomic.Pointer[map[string]string]
 
-	mu          sync.Mutex
-	sessions    map[uint32]*session
+	mu       sync.Mutex
+	sessions map[uint32]*session
+	// connections counts all connections of callers: sessions, logins and cancel requests.
 	connections int
-	sequence    uint32
-	draining    atomic.Bool
-	// sessionsEnded is closed when the proxy drains and the last session has ended.
-	sessionsEnded chan struct{}
+	// accepting is true while the listener may return a connection.
+	accepting bool
+	sequence  uint32
+	draining  atomic.Bool
+	// connectionsEnded is closed when the proxy drains and the last connection of a caller has ended.
+	connectionsEnded chan struct{}
+	// refuseLogins cancels the context loginsAllowed, which ends the wait for callers that have not logged in.
+	refuseLogins  context.CancelCauseFunc
+	loginsAllowed context.Context
 	// stop cancels the context stopped, which ends everything that still runs.
 	stop    context.CancelCauseFunc
 	stopped context.Context
@@ -119,13 +125,14 @@
 	}
 
 	server := &Server{
-		options:       options,
-		pools:         newPools(options),
-		counters:      counters{registry: options.Metrics},
-		budget:        newRetryBudget(),
-		sessions:      make(map[uint32]*session),
-		sessionsEnded: make(chan struct{}),
-	}
+		options:          options,
+		pools:            newPools(options),
+		counters:         counters{registry: options.Metrics},
+		budget:           newRetryBudget(),
+		sessions:         make(map[uint32]*session),
+		connectionsEnded: make(chan struct{}),
+	}
+	server.loginsAllowed, server.refuseLogins = context.WithCancelCause(context.Background())
 	server.stopped, server.stop = context.WithCancelCause(context.Background())
 
 	return server
@@ -171,6 +178,9 @@
 //
 //nolint:contextcheck // A session outlives the context while the proxy drains.
 func (s *Server) accept(ctx context.Context) error {
+	s.setAccepting(true)
+	defer s.setAccepting(false)
+
 	for {
 		conn, err := s.options.Listener.Accept()
 
@@ -237,6 +247,29 @@
 	defer s.mu.Unlock()
 
 	s.connections--
+	s.checkConnectionsEnded()
+}
+
+func (s *Server) setAccepting(accepting bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.accepting = accepting
+	s.checkConnectionsEnded()
+}
+
+// checkConnectionsEnded closes connectionsEnded once the proxy drains and no connection is left. The caller holds the
+// lock.
+func (s *Server) checkConnectionsEnded() {
+	if !s.draining.Load() || s.accepting || s.connections > 0 {
+		return
+	}
+
+	select {
+	case <-s.connectionsEnded:
+	default:
+		close(s.connectionsEnded)
+	}
 }
 
 // serveConn runs one connection from startup to its end.
@@ -248,7 +281,7 @@
 
 	var connectTarget target
 
-	accepted, err := caller.Accept(conn, caller.Options{
+	accepted, err := caller.Accept(s.loginsAllowed, conn, caller.Options{
 		TLS:            s.options.TLS,
 		StartupTimeout: startupTimeout,
 		StallTimeout:   running.Timing.Deadline.Or(startupTimeout),
@@ -325,6 +358,7 @@
 	if err := s.register(session, accepted.AllowsLongSecret); err != nil {
 		s.counters.countError(err)
 		accepted.Conn.SendFatal(errorResponse(err))
+		accepted.Conn.Linger()
 
 		return
 	}
@@ -378,19 +412,6 @@
 	defer s.mu.Unlock()
 
 	delete(s.sessions, ended.sequence)
-
-	if s.draining.Load() && len(s.sessions) == 0 {
-		s.closeSessionsEnded()
-	}
-}
-
-// closeSessionsEnded closes sessionsEnded once. The caller holds the lock.
-func (s *Server) closeSessionsEnded() {
-	select {
-	case <-s.sessionsEnded:
-	default:
-		close(s.sessionsEnded)
-	}
 }
 
 // Cancel cancels the request of the session with the given key. A key of another proxy is forwarded to it; an unknown
@@ -420,15 +441,13 @@
 	}
 }
 
-// Drain refuses new work and returns when the requests and transactions in progress have ended. When the context ends
-// first, the remaining callers get an error and their sessions are closed.
+// Drain refuses new work and logins, and returns when the requests and transactions in progress have ended and every
+// caller has its answer. When the context ends first, the remaining callers get an error and their sessions are closed.
 func (s *Server) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	s.draining.Store(true)
-
-	if len(s.sessions) == 0 {
-		s.closeSessionsEnded()
-	}
+	s.refuseLogins(errDraining())
+	s.checkConnectionsEnded()
 
 	for _, open := range s.sessions {
 		open.caller.Interrupt()
@@ -440,7 +459,7 @@
 	var err error
 
 	select {
-	case <-s.sessionsEnded:
+	case <-s.connectionsEnded:
 	case <-ctx.Done():
 		err = ctx.Err()
 	}
@@ -448,7 +467,7 @@
 	s.closeNow()
 
 	if err != nil {
-		<-s.sessionsEnded
+		<-s.connectionsEnded
 	}
 
 	return err
@@ -474,11 +493,9 @@
 func (s *Server) closeNow() {
 	s.mu.Lock()
 	s.draining.Store(true)
+	s.refuseLogins(errDraining())
 	s.stop(errSessionEnded)
-
-	if len(s.sessions) == 0 {
-		s.closeSessionsEnded()
-	}
+	s.checkConnectionsEnded()
 
 	for _, open := range s.sessions {
 		open.terminate()
--- a/internal/systemtest/stop_test.go
+++ b/internal/systemtest/stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,6 +13,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -297,3 +300,65 @@
 	t.Logf("1 stop; %d idle sessions informed", informed.Load())
 	assert.EqualValues(t, sessions, informed.Load())
 }
+
+// Guards against callers whose login is cut off without an answer because the proxy has no session left and ends.
+func TestStopOfProxyAnswersCallersThatLogIn(t *testing.T) {
+	// The verifier of the password "secret".
+	const verifier = "SCRAM-SHA-256$4096:MDEyMzQ1Njc4OWFiY2RlZg==$" +
+		"bpSY5Ze9NUH+I35LC3gVq+DpBfK46iXBxvhAKqVu9pE=:VpYlBuxyzeCI1KnctrefdljpB1mk3Gp7sBI/t11+NkQ="
+
+	d := deploy(t, deployOptions{controls: 1, proxies: 1, members: 3, runningSettings: map[string]any{
+		"users": map[string]any{"clerk": map[string]any{}, "guarded": map[string]any{"verifier": verifier}},
+	}})
+	startup, err := (&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "guarded", "database": poolName},
+	}).Encode(nil)
+	require.NoError(t, err)
+	encryption, err := (&pgproto3.SSLRequest{}).Encode(nil)
+	require.NoError(t, err)
+
+	tests := []struct {
+		name string
+		// sent is sent before the stop, answerBytes is the size of the answer to it.
+		sent        []byte
+		answerBytes int
+	}{
+		{"connected", nil, 0},
+		{"encryption refused", encryption, 1},
+		{"part of the startup packet sent", startup[:10], 0},
+		{"authentication in progress", startup, 24},
+	}
+
+	conns := make([]net.Conn, len(tests))
+
+	for i, test := range tests {
+		conns[i], err = net.Dial("tcp", d.proxies[0].address)
+		require.NoError(t, err)
+
+		defer conns[i].Close()
+
+		_, err = conns[i].Write(test.sent)
+		require.NoError(t, err)
+		_, err = io.ReadFull(conns[i], make([]byte, test.answerBytes))
+		require.NoError(t, err, test.name)
+	}
+
+	// A later connection is accepted after the earlier ones.
+	require.NoError(t, d.connect(d.proxies[0], "").Close(context.Background()))
+	d.proxies[0].signal(syscall.SIGTERM)
+
+	for i, test := range tests {
+		message, err := pgproto3.NewFrontend(conns[i], conns[i]).Receive()
+		if !assert.NoError(t, err, test.name) {
+			continue
+		}
+
+		failure, failed := message.(*pgproto3.ErrorResponse)
+		require.True(t, failed, "%s: %T", test.name, message)
+		assert.Equal(t, "FATAL", failure.Severity, test.name)
+		assert.Contains(t, failure.Message, "AG1305", test.name)
+	}
+
+	<-d.proxies[0].exited
+	assert.Equal(t, 0, d.proxies[0].command.ProcessState.ExitCode(), "exit code of the proxy")
+}
--- a/io/caller/accept.go
+++ b/io/caller/accept.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"crypto/tls"
 	"encoding/binary"
 	"errors"
@@ -8,6 +9,7 @@
 	"io"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"strings"
 	"time"
@@ -73,15 +75,20 @@
 
 // Accept performs the startup and login of a new connection. If it fails, it sends the error to the caller if possible
 // and closes the connection; it also closes the connection after a cancel request. If the caller closed the connection
-// without sending anything, the error wraps io.EOF.
-func Accept(conn net.Conn, options Options) (*Accepted, error) {
+// without sending anything, the error wraps io.EOF. When the context ends before the login, the caller is refused with its
+// cause.
+func Accept(ctx context.Context, conn net.Conn, options Options) (*Accepted, error) {
 	if err := conn.SetDeadline(time.Now().Add(options.StartupTimeout)); err != nil {
 		_ = conn.Close()
 
 		return nil, err
 	}
 
-	accepted, err := accept(conn, options)
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
+	accepted, err := accept(ctx, conn, options)
+
+	stop()
+
 	if err != nil {
 		_ = conn.Close()
 
@@ -101,13 +108,13 @@
 	return accepted, nil
 }
 
-func accept(conn net.Conn, options Options) (*Accepted, error) {
+func accept(ctx context.Context, conn net.Conn, options Options) (*Accepted, error) {
 	encrypted := false
 
 	for range maxStartupPackets {
 		code, body, err := readStartup(conn)
 		if err != nil {
-			return nil, refuseUnframed(conn, err)
+			return nil, refuseUnframed(conn, refusal(ctx, err))
 		}
 
 		switch code {
@@ -126,7 +133,7 @@
 		case codeCancel:
 			return readCancel(body)
 		default:
-			return login(conn, code, body, options)
+			return login(ctx, conn, code, body, options)
 		}
 
 		if err != nil {
@@ -176,7 +183,7 @@
 	}}, nil
 }
 
-func login(conn net.Conn, version uint32, body []byte, options Options) (*Accepted, error) {
+func login(ctx context.Context, conn net.Conn, version uint32, body []byte, options Options) (*Accepted, error) {
 	if version>>majorShift != supportedMajor {
 		return nil, refuseUnframed(conn, result.New(result.Protocol,
 			"protocol version %d.%d is not supported; want 3.0 to 3.%d", version>>majorShift, version&minorMask, newestMinor))
@@ -216,7 +223,7 @@
 		return nil, refuseLogin(caller, err)
 	}
 
-	if err := authenticate(caller, parameters["user"], options.Verifier); err != nil {
+	if err := authenticate(ctx, caller, parameters["user"], options.Verifier); err != nil {
 		return nil, refuseLogin(caller, err)
 	}
 
@@ -345,6 +352,16 @@
 
 func refuseLogin(caller *Conn, err error) error {
 	caller.SendFatal(ErrorResponse(err))
+	caller.Linger()
+
+	return err
+}
+
+// refusal returns the error for a caller whose message could not be read: the context's cause if that ended the wait.
+func refusal(ctx context.Context, err error) error {
+	if ctx.Err() != nil && errors.Is(err, os.ErrDeadlineExceeded) {
+		return context.Cause(ctx)
+	}
 
 	return err
 }
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -85,7 +85,7 @@
 			}
 
 			go func() {
-				accepted, err := caller.Accept(conn, options)
+				accepted, err := caller.Accept(context.Background(), conn, options)
 				if err != nil {
 					return
 				}
@@ -325,7 +325,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		conn := &recordedConn{in: bytes.NewReader(data)}
 
-		accepted, err := caller.Accept(conn, options)
+		accepted, err := caller.Accept(context.Background(), conn, options)
 		if err != nil {
 			if code := result.CodeOf(err); code != result.OK && conn.out.Len() == 0 && code != result.Protocol {
 				t.Fatalf("refused without an error message: %v", err)
--- a/io/caller/doc.go
+++ b/io/caller/doc.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	accepted, err := caller.Accept(conn, options)
+//	accepted, err := caller.Accept(ctx, conn, options)
 //	if err != nil {
 //		return err // the caller has received the error
 //	}
--- a/io/caller/scram.go
+++ b/io/caller/scram.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
@@ -84,7 +85,7 @@
 	}
 }
 
-func authenticate(conn *Conn, user string, verifierOf func(string) (string, bool)) error {
+func authenticate(ctx context.Context, conn *Conn, user string, verifierOf func(string) (string, bool)) error {
 	verifier, known := verifierOf(user)
 	if known && verifier == "" {
 		return conn.Send(&pgproto3.AuthenticationOk{})
@@ -100,7 +101,7 @@
 	}
 
 	if err := exchangeSASL(conn, credentials); err != nil {
-		if result.CodeOf(err) == result.Protocol {
+		if err = refusal(ctx, err); result.CodeOf(err) == result.Protocol || result.CodeOf(err) == result.Draining {
 			return err
 		}
 
