internal/daemon: hand groups over before a stopped proxy ends

Callers of other proxies got 1304 (not run), or waited up to 3.6 s, only because the proxy that coordinated their group was stopped. No outcome was unknown.

Cause: control learns of the stop with the next renewal, which comes each second, and a proxy without sessions ends 0.5 s after SIGTERM. In about half of the stops the group kept its coordinator until the stream broke, and the new coordinator granted no permits until it had the report of the stopped proxy or that proxy's lease of 3 s had expired.

A drained proxy now ends only when another proxy coordinates its groups and their coordinators have its report of held permits (Coordination.HandedOver). It does not wait without a lease, without another proxy that is not draining, or past timing.drain_timeout. A stop takes up to one renewal longer.

--- a/internal/coordination/coordination.go
+++ b/internal/coordination/coordination.go
@@ -111,6 +111,33 @@
 	return coordinator.ApplicationName(c.options.Name, c.options.Instance, "")
 }
 
+// HandedOver reports whether a draining proxy may end without a delay for others: it coordinates no group that another
+// proxy can take over, and the coordinators know which permits it holds. A new coordinator would otherwise wait for its
+// report until its lease has expired, and grant nothing meanwhile.
+func (c *Coordination) HandedOver() bool {
+	view := c.View()
+	if view == nil {
+		return true
+	}
+
+	successor := false
+	for name, other := range view.Proxies {
+		successor = successor || name != c.options.Name && !other.Draining
+	}
+
+	if !successor {
+		return true
+	}
+
+	for name, link := range *c.links.Load() {
+		if view.Groups[name].Coordinator == c.options.Name || !link.isReported() {
+			return false
+		}
+	}
+
+	return true
+}
+
 // View implements proxy.Coordination.
 func (c *Coordination) View() *registry.View {
 	return c.options.Source.View()
--- a/internal/coordination/link.go
+++ b/internal/coordination/link.go
@@ -360,6 +360,14 @@
 		view.Proxies[l.owner.options.Name].Number == l.proxyNumber
 }
 
+// isReported reports whether the present coordinator knows the permits that this proxy holds, or can't be reached.
+func (l *groupLink) isReported() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+
+	return l.permitsAreValid() || !l.reachable
+}
+
 // coordinatorTarget returns the coordinator of a group.
 func (l *groupLink) coordinatorTarget(view *registry.View, group registry.Group) (target, error) {
 	if group.Coordinator == l.owner.options.Name {
--- a/internal/daemon/proxy.go
+++ b/internal/daemon/proxy.go
@@ -35,6 +35,8 @@
 	// balancerDelay is the time from when the health address reports the drain until the proxy refuses new connections.
 	// It lets the load balancer stop sending callers first.
 	balancerDelay = 500 * time.Millisecond
+	// handoverPollInterval is the interval between two checks whether other proxies have taken over.
+	handoverPollInterval = 10 * time.Millisecond
 )
 
 // Options describe a process.
@@ -196,7 +198,7 @@
 }
 
 // drain reports the shutdown to the load balancer, then refuses new work and waits until the work in progress has finished
-// or DrainTimeout has passed.
+// and other proxies coordinate the groups of this one, or DrainTimeout has passed.
 func (p *proxyProcess) drain() error {
 	p.Logger.Info("proxy draining", "sessions", p.server.SessionCount())
 	p.shuttingDown.Store(true)
@@ -212,7 +214,30 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timing.DrainTimeout.Or(0))
 	defer cancel()
 
-	return eris.Wrap(p.server.Drain(ctx), "drain")
+	if err := p.server.Drain(ctx); err != nil {
+		return eris.Wrap(err, "drain")
+	}
+
+	p.awaitHandover(ctx)
+
+	return nil
+}
+
+// awaitHandover waits until the groups that this proxy coordinates are handed over. A proxy without its lease has lost
+// them already.
+func (p *proxyProcess) awaitHandover(ctx context.Context) {
+	ticker := time.NewTicker(handoverPollInterval)
+	defer ticker.Stop()
+
+	for p.controlClient.HasLease() && !p.coordination.HandedOver() {
+		select {
+		case <-ctx.Done():
+			p.Logger.Warn("groups are not handed over before the end of the drain")
+
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
 func (p *proxyProcess) closeComponents() {
--- a/internal/systemtest/harness_test.go
+++ b/internal/systemtest/harness_test.go
@@ -276,12 +276,13 @@
 
 // groupStatus is the part of a group's status that the tests use.
 type groupStatus struct {
-	Name     string
-	Term     uint64 `json:",string"`
-	Primary  string
-	Phase    string
-	Members  []string
-	Previous []string
+	Name        string
+	Term        uint64 `json:",string"`
+	Primary     string
+	Phase       string
+	Coordinator string
+	Members     []string
+	Previous    []string
 }
 
 type systemStatus struct {
--- a/internal/systemtest/stop_test.go
+++ b/internal/systemtest/stop_test.go
@@ -362,3 +362,106 @@
 	<-d.proxies[0].exited
 	assert.Equal(t, 0, d.proxies[0].command.ProcessState.ExitCode(), "exit code of the proxy")
 }
+
+// Guards against errors and unknown outcomes for callers of other proxies, only because the proxy that coordinates the group
+// is stopped: barriers, confirmations and permits that it was asked for must be served by another one.
+func TestStopOfCoordinatorDisturbsNoOtherProxy(t *testing.T) {
+	const callersPerProxy, stops = 4, 6
+
+	d := deploy(t, deployOptions{controls: 1, proxies: 3, members: 3})
+	_, err := d.connect(d.proxies[0], "").Exec(context.Background(), "CREATE TABLE kept (id text PRIMARY KEY)")
+	require.NoError(t, err)
+
+	var statements, failures atomic.Int64
+
+	for round := range stops {
+		coordinator := d.proxyNamed(d.groupStatus("students").Coordinator)
+		running := make(chan struct{})
+
+		var (
+			callers sync.WaitGroup
+			mutex   sync.Mutex
+			slowest time.Duration
+		)
+
+		for i, proxy := range d.proxies {
+			if proxy == coordinator {
+				continue
+			}
+
+			for n := range callersPerProxy {
+				conn := d.connect(proxy, "")
+				// Shorter than the lease of the stopped proxy.
+				_, err := conn.Exec(context.Background(), "SET statement_timeout = '1s'")
+				require.NoError(t, err)
+
+				callers.Go(func() {
+					for count := 0; ; count++ {
+						select {
+						case <-running:
+							return
+						default:
+						}
+
+						id := fmt.Sprintf("%d-%d-%d-%d", round, i, n, count)
+
+						for _, sql := range []string{"INSERT INTO kept VALUES ('" + id + "')", "SELECT count(*) FROM kept WHERE id = '" + id + "'"} {
+							begin := time.Now()
+
+							if _, err := conn.Exec(context.Background(), sql); err != nil {
+								failures.Add(1)
+								t.Errorf("%s through %s: %v", sql, proxy.name, err)
+
+								return
+							}
+
+							statements.Add(1)
+							mutex.Lock()
+							slowest = max(slowest, time.Since(begin))
+							mutex.Unlock()
+						}
+					}
+				})
+			}
+		}
+
+		before := statements.Load()
+		await := func(what string) {
+			start := statements.Load()
+			eventually(t, what, conditionTimeout, func() error {
+				if now := statements.Load(); now < start+100 {
+					return fmt.Errorf("%d statements", now-start)
+				}
+
+				return nil
+			})
+		}
+
+		await("statements before the stop")
+		coordinator.signal(syscall.SIGTERM)
+		<-coordinator.exited
+		assert.Equal(t, 0, coordinator.command.ProcessState.ExitCode(), "exit code of %s", coordinator.name)
+		await("statements after the stop")
+		close(running)
+		callers.Wait()
+		t.Logf("stop of %s: %d statements, the slowest took %s", coordinator.name, statements.Load()-before, slowest)
+		coordinator.start()
+		d.waitUntilServing(coordinator, "students", 3)
+	}
+
+	t.Logf("%d stops, %d statements, %d failed", stops, statements.Load(), failures.Load())
+}
+
+func (d *deployment) proxyNamed(name string) *process {
+	d.t.Helper()
+
+	for _, proxy := range d.proxies {
+		if proxy.name == name {
+			return proxy
+		}
+	}
+
+	d.t.Fatalf("no proxy %q", name)
+
+	return nil
+}
