internal/systemtest: stop a proxy at its limit while callers come back

No test stopped a whole proxy whose drain runs into timing.drain_timeout while callers keep coming back. The new test has callers with short statements, transactions, batches of the extended protocol, long reads and long writes on the stopping proxy, and compares every answer with the content of the database.

Ruled out that any of them ends without a code.

--- a/internal/systemtest/stop_test.go
+++ b/internal/systemtest/stop_test.go
@@ -465,3 +465,157 @@
 
 	return nil
 }
+
+// Guards against callers of a stopping proxy whose connection ends without an answer or an error with a code, when they keep
+// coming back and the time limit of the drain passes while their statements run.
+func TestStopOfProxyAtItsLimitAnswersCallersThatComeBack(t *testing.T) {
+	const (
+		callersPerKind = 4
+		drainTimeout   = 2 * time.Second
+	)
+
+	d := deploy(t, deployOptions{controls: 1, proxies: 2, members: 3, memberArgs: []string{"--slots", "20", "--connections", "60"}, runningSettings: map[string]any{
+		"timing": map[string]any{"drain_timeout": drainTimeout.String()},
+	}})
+	proxy := d.proxies[0]
+	_, err := d.connect(d.proxies[1], "").Exec(context.Background(), "CREATE TABLE kept (id text PRIMARY KEY)")
+	require.NoError(t, err)
+
+	writesDone := make(chan struct{})
+	kinds := []struct {
+		name string
+		run  func(ctx context.Context, conn *pgx.Conn, id string) error
+	}{
+		{"simple", func(ctx context.Context, conn *pgx.Conn, id string) error {
+			_, err := conn.PgConn().Exec(ctx, "INSERT INTO kept VALUES ('"+id+"')").ReadAll()
+
+			return err
+		}},
+		{"transaction", func(ctx context.Context, conn *pgx.Conn, id string) error {
+			return pgx.BeginFunc(ctx, conn, func(tx pgx.Tx) error {
+				_, err := tx.Exec(ctx, "INSERT INTO kept VALUES ($1)", id)
+
+				return err
+			})
+		}},
+		{"batch", func(ctx context.Context, conn *pgx.Conn, id string) error {
+			requests := &pgx.Batch{}
+			requests.Queue("INSERT INTO kept VALUES ($1)", id)
+			requests.Queue("SELECT count(*) FROM kept WHERE id = $1", id)
+
+			return conn.SendBatch(ctx, requests).Close()
+		}},
+		{"long read", func(ctx context.Context, conn *pgx.Conn, _ string) error {
+			_, err := conn.Exec(ctx, "SELECT pg_sleep(20)")
+
+			return err
+		}},
+		{"long write", func(ctx context.Context, conn *pgx.Conn, id string) error {
+			// The stand-in allows one writing transaction at a time, so the other writes wait for this one.
+			<-writesDone
+			_, err := conn.PgConn().Exec(ctx, "INSERT INTO kept VALUES ('"+id+"'); SELECT pg_sleep(20)").ReadAll()
+
+			return err
+		}},
+	}
+
+	var (
+		callers  sync.WaitGroup
+		mutex    sync.Mutex
+		outcomes = make(map[string]outcome)
+		codes    = make(map[result.Code]int)
+		cut      []string
+	)
+
+	for _, kind := range kinds {
+		for n := range callersPerKind {
+			callers.Go(func() {
+				for count := 0; ; count++ {
+					conn, err := d.tryConnect(proxy, "", "")
+					if err != nil {
+						select {
+						case <-proxy.exited:
+							return
+						default:
+							continue
+						}
+					}
+
+					for ; err == nil; count++ {
+						id := fmt.Sprintf("%s-%d-%d", kind.name, n, count)
+						err = kind.run(context.Background(), conn, id)
+						_, code := codeOf(err)
+
+						mutex.Lock()
+						outcomes[id] = outcomeOf(err)
+
+						if err != nil {
+							codes[code]++
+						}
+
+						if err != nil && code == result.OK {
+							cut = append(cut, fmt.Sprintf("%s: %v", id, err))
+						}
+						mutex.Unlock()
+					}
+
+					_ = conn.Close(context.Background())
+				}
+			})
+		}
+	}
+
+	eventually(t, "answers", conditionTimeout, func() error {
+		mutex.Lock()
+		defer mutex.Unlock()
+
+		if len(outcomes) < 100 {
+			return fmt.Errorf("%d", len(outcomes))
+		}
+
+		return nil
+	})
+	close(writesDone)
+	eventually(t, "long reads and a long write", conditionTimeout, func() error {
+		running := 0
+		for _, member := range d.members {
+			running += countActivity(t, member, "state = 'active' AND query LIKE '%pg_sleep(20)%' AND application_name LIKE 'ag/%'")
+		}
+
+		if running <= callersPerKind {
+			return fmt.Errorf("%d", running)
+		}
+
+		return nil
+	})
+	proxy.signal(syscall.SIGTERM)
+	<-proxy.exited
+	callers.Wait()
+
+	counts := map[outcome]int{}
+	for _, reported := range outcomes {
+		counts[reported]++
+	}
+
+	t.Logf("1 stop; %d acknowledged, %d not run, %d unknown, codes %v; %d cut off", counts[outcomeAcknowledged], counts[outcomeNotRun],
+		counts[outcomeUnknown], codes, len(cut))
+	assert.Empty(t, cut)
+
+	rows, err := d.connect(d.proxies[1], "").Query(context.Background(), "SELECT id FROM kept")
+	require.NoError(t, err)
+	ids, err := pgx.CollectRows(rows, pgx.RowTo[string])
+	require.NoError(t, err)
+
+	kept := make(map[string]bool)
+	for _, id := range ids {
+		kept[id] = true
+	}
+
+	for id, reported := range outcomes {
+		assert.False(t, reported == outcomeAcknowledged && !kept[id], "%s was acknowledged and is missing", id)
+		assert.False(t, reported == outcomeNotRun && kept[id], "%s was refused as not run and exists", id)
+	}
+
+	require.Positive(t, counts[outcomeAcknowledged])
+	require.Positive(t, counts[outcomeUnknown])
+}
