--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -128,7 +128,8 @@
 }
 
 // cancelOnDone cancels the statement on the backend server when the request's context ends. The returned function
-// stops that and waits until a cancel request in progress has been delivered, so that it can't hit a later statement.
+// stops that and waits until a cancel request in progress has been delivered, so that it can't hit a later statement. It
+// does not wait in a session that ends: no statement follows, and the caller must be told in time.
 //
 //nolint:contextcheck // The request to cancel must outlive the context that ends.
 func (s *session) cancelOnDone(ctx context.Context, conn *backend.Conn) func() {
@@ -137,8 +138,7 @@
 	s.cancelDelivered = nil
 
 	if s.ended {
-		conn.Taint()
-		_ = conn.SetDeadline(time.Unix(1, 0))
+		conn.Abort()
 	}
 	s.mu.Unlock()
 
@@ -170,7 +170,10 @@
 		s.mu.Unlock()
 
 		if delivered != nil {
-			<-delivered
+			select {
+			case <-delivered:
+			case <-s.terminated:
+			}
 		}
 	}
 }
@@ -260,7 +263,7 @@
 			return 0, err
 		}
 
-		if err := x.session.extendReadDeadline(x.conn, limit); err != nil {
+		if err := x.conn.SetReadDeadline(limit); err != nil {
 			return 0, err
 		}
 	}
@@ -315,18 +318,6 @@
 	return nil
 }
 
-// extendReadDeadline sets a later read deadline on a connection, unless the session was ended.
-func (s *session) extendReadDeadline(conn *backend.Conn, deadline time.Time) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	if s.ended {
-		return errSessionEnded
-	}
-
-	return conn.SetReadDeadline(deadline)
-}
-
 // relayMessage relays one message to the caller.
 func (x *exchange) relayMessage(kind byte) error {
 	if x.plan != nil {
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -97,6 +97,8 @@
 	// cancelDelivered is closed when a cancel request to the backend server has been delivered.
 	cancelDelivered chan struct{}
 	ended           bool
+	// terminated is closed when ended is set.
+	terminated chan struct{}
 }
 
 // transaction is the state of the caller's open transaction.
@@ -115,12 +117,13 @@
 	return &session{
 		server: server, caller: accepted.Conn, target: to,
 		user: accepted.Parameters["user"], startupParameters: accepted.Parameters,
-		prepared: make(map[string]*preparedStatement), status: statusIdle,
+		prepared: make(map[string]*preparedStatement), status: statusIdle, terminated: make(chan struct{}),
 	}
 }
 
 // run sends the greeting and serves the caller until the session ends.
 func (s *session) run() {
+	defer s.awaitCancelDelivery()
 	defer s.releaseLease(true)
 
 	if err := s.sendGreeting(); err != nil {
@@ -224,15 +227,13 @@
 	}
 
 	s.sendFatal(err)
-
-	if code := result.CodeOf(err); code == result.Protocol || code == result.TooLarge {
-		s.caller.Linger()
-	}
 }
 
+// sendFatal sends the last error. The caller may have sent statements that are still unread.
 func (s *session) sendFatal(err error) {
 	s.server.counters.countError(err)
 	s.caller.SendFatal(errorResponse(err))
+	s.caller.Linger()
 }
 
 // handleMessage serves one message. Its errors end the session.
@@ -416,9 +417,13 @@
 	s.parameters.rollback()
 
 	if s.lease != nil {
+		stop := s.abortOnTermination(s.lease.conn)
+
 		if err := s.lease.conn.Exec(time.Now().Add(endGrace), "ROLLBACK"); err != nil {
 			s.lease.conn.Taint()
 		}
+
+		stop()
 	}
 
 	s.releaseLease(s.pinned && s.lease != nil && !s.lease.conn.Reusable())
@@ -448,15 +453,17 @@
 // terminate ends the session within endGrace, whatever it is doing. It may be called from any goroutine.
 func (s *session) terminate() {
 	s.mu.Lock()
-	s.ended = true
+	if !s.ended {
+		s.ended = true
+		close(s.terminated)
+	}
 
 	if s.cancelRequest != nil {
 		s.cancelRequest(errSessionEnded)
 	}
 
 	if s.runningConn != nil {
-		s.runningConn.Taint()
-		_ = s.runningConn.SetDeadline(time.Unix(1, 0))
+		s.runningConn.Abort()
 	}
 	s.mu.Unlock()
 
@@ -464,6 +471,37 @@
 	time.AfterFunc(endGrace, s.caller.Close)
 }
 
+// abortOnTermination makes terminate abort a connection on which the session runs a statement of its own. The returned
+// function ends that.
+func (s *session) abortOnTermination(conn *backend.Conn) func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.runningConn = conn
+
+	if s.ended {
+		conn.Abort()
+	}
+
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+
+		s.runningConn = nil
+	}
+}
+
+// awaitCancelDelivery waits until a cancel request in progress has been delivered.
+func (s *session) awaitCancelDelivery() {
+	s.mu.Lock()
+	delivered := s.cancelDelivered
+	s.mu.Unlock()
+
+	if delivered != nil {
+		<-delivered
+	}
+}
+
 // isEnded reports whether terminate was called.
 func (s *session) isEnded() bool {
 	s.mu.Lock()
--- a/internal/systemtest/stop_test.go
+++ b/internal/systemtest/stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,6 +13,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -297,3 +300,322 @@
 	t.Logf("1 stop; %d idle sessions informed", informed.Load())
 	assert.EqualValues(t, sessions, informed.Load())
 }
+
+// Guards against callers whose login is cut off without an answer because the proxy has no session left and ends.
+func TestStopOfProxyAnswersCallersThatLogIn(t *testing.T) {
+	// The verifier of the password "secret".
+	const verifier = "SCRAM-SHA-256$4096:MDEyMzQ1Njc4OWFiY2RlZg==$" +
+		"bpSY5Ze9NUH+I35LC3gVq+DpBfK46iXBxvhAKqVu9pE=:VpYlBuxyzeCI1KnctrefdljpB1mk3Gp7sBI/t11+NkQ="
+
+	d := deploy(t, deployOptions{controls: 1, proxies: 1, members: 3, runningSettings: map[string]any{
+		"users": map[string]any{"clerk": map[string]any{}, "guarded": map[string]any{"verifier": verifier}},
+	}})
+	startup, err := (&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "guarded", "database": poolName},
+	}).Encode(nil)
+	require.NoError(t, err)
+	encryption, err := (&pgproto3.SSLRequest{}).Encode(nil)
+	require.NoError(t, err)
+
+	tests := []struct {
+		name string
+		// sent is sent before the stop, answerBytes is the size of the answer to it.
+		sent        []byte
+		answerBytes int
+	}{
+		{"connected", nil, 0},
+		{"encryption refused", encryption, 1},
+		{"part of the startup packet sent", startup[:10], 0},
+		{"authentication in progress", startup, 24},
+	}
+
+	conns := make([]net.Conn, len(tests))
+
+	for i, test := range tests {
+		conns[i], err = net.Dial("tcp", d.proxies[0].address)
+		require.NoError(t, err)
+
+		defer conns[i].Close()
+
+		_, err = conns[i].Write(test.sent)
+		require.NoError(t, err)
+		_, err = io.ReadFull(conns[i], make([]byte, test.answerBytes))
+		require.NoError(t, err, test.name)
+	}
+
+	// A later connection is accepted after the earlier ones.
+	require.NoError(t, d.connect(d.proxies[0], "").Close(context.Background()))
+	d.proxies[0].signal(syscall.SIGTERM)
+
+	for i, test := range tests {
+		message, err := pgproto3.NewFrontend(conns[i], conns[i]).Receive()
+		if !assert.NoError(t, err, test.name) {
+			continue
+		}
+
+		failure, failed := message.(*pgproto3.ErrorResponse)
+		require.True(t, failed, "%s: %T", test.name, message)
+		assert.Equal(t, "FATAL", failure.Severity, test.name)
+		assert.Contains(t, failure.Message, "AG1305", test.name)
+	}
+
+	<-d.proxies[0].exited
+	assert.Equal(t, 0, d.proxies[0].command.ProcessState.ExitCode(), "exit code of the proxy")
+}
+
+// Guards against errors and unknown outcomes for callers of other proxies, only because the proxy that coordinates the group
+// is stopped: barriers, confirmations and permits that it was asked for must be served by another one.
+func TestStopOfCoordinatorDisturbsNoOtherProxy(t *testing.T) {
+	const callersPerProxy, stops = 4, 6
+
+	d := deploy(t, deployOptions{controls: 1, proxies: 3, members: 3})
+	_, err := d.connect(d.proxies[0], "").Exec(context.Background(), "CREATE TABLE kept (id text PRIMARY KEY)")
+	require.NoError(t, err)
+
+	var statements, failures atomic.Int64
+
+	for round := range stops {
+		coordinator := d.proxyNamed(d.groupStatus("students").Coordinator)
+		running := make(chan struct{})
+
+		var (
+			callers sync.WaitGroup
+			mutex   sync.Mutex
+			slowest time.Duration
+		)
+
+		for i, proxy := range d.proxies {
+			if proxy == coordinator {
+				continue
+			}
+
+			for n := range callersPerProxy {
+				conn := d.connect(proxy, "")
+				// Shorter than the lease of the stopped proxy.
+				_, err := conn.Exec(context.Background(), "SET statement_timeout = '1s'")
+				require.NoError(t, err)
+
+				callers.Go(func() {
+					for count := 0; ; count++ {
+						select {
+						case <-running:
+							return
+						default:
+						}
+
+						id := fmt.Sprintf("%d-%d-%d-%d", round, i, n, count)
+
+						for _, sql := range []string{"INSERT INTO kept VALUES ('" + id + "')", "SELECT count(*) FROM kept WHERE id = '" + id + "'"} {
+							begin := time.Now()
+
+							if _, err := conn.Exec(context.Background(), sql); err != nil {
+								failures.Add(1)
+								t.Errorf("%s through %s: %v", sql, proxy.name, err)
+
+								return
+							}
+
+							statements.Add(1)
+							mutex.Lock()
+							slowest = max(slowest, time.Since(begin))
+							mutex.Unlock()
+						}
+					}
+				})
+			}
+		}
+
+		before := statements.Load()
+		await := func(what string) {
+			start := statements.Load()
+			eventually(t, what, conditionTimeout, func() error {
+				if now := statements.Load(); now < start+100 {
+					return fmt.Errorf("%d statements", now-start)
+				}
+
+				return nil
+			})
+		}
+
+		await("statements before the stop")
+		coordinator.signal(syscall.SIGTERM)
+		<-coordinator.exited
+		assert.Equal(t, 0, coordinator.command.ProcessState.ExitCode(), "exit code of %s", coordinator.name)
+		await("statements after the stop")
+		close(running)
+		callers.Wait()
+		t.Logf("stop of %s: %d statements, the slowest took %s", coordinator.name, statements.Load()-before, slowest)
+		coordinator.start()
+		d.waitUntilServing(coordinator, "students", 3)
+	}
+
+	t.Logf("%d stops, %d statements, %d failed", stops, statements.Load(), failures.Load())
+}
+
+func (d *deployment) proxyNamed(name string) *process {
+	d.t.Helper()
+
+	for _, proxy := range d.proxies {
+		if proxy.name == name {
+			return proxy
+		}
+	}
+
+	d.t.Fatalf("no proxy %q", name)
+
+	return nil
+}
+
+// Guards against callers of a stopping proxy whose connection ends without an answer or an error with a code, when they keep
+// coming back and the time limit of the drain passes while their statements run.
+func TestStopOfProxyAtItsLimitAnswersCallersThatComeBack(t *testing.T) {
+	const (
+		callersPerKind = 4
+		drainTimeout   = 2 * time.Second
+	)
+
+	d := deploy(t, deployOptions{controls: 1, proxies: 2, members: 3, memberArgs: []string{"--slots", "20", "--connections", "60"}, runningSettings: map[string]any{
+		"timing": map[string]any{"drain_timeout": drainTimeout.String()},
+	}})
+	proxy := d.proxies[0]
+	_, err := d.connect(d.proxies[1], "").Exec(context.Background(), "CREATE TABLE kept (id text PRIMARY KEY)")
+	require.NoError(t, err)
+
+	writesDone := make(chan struct{})
+	kinds := []struct {
+		name string
+		run  func(ctx context.Context, conn *pgx.Conn, id string) error
+	}{
+		{"simple", func(ctx context.Context, conn *pgx.Conn, id string) error {
+			_, err := conn.PgConn().Exec(ctx, "INSERT INTO kept VALUES ('"+id+"')").ReadAll()
+
+			return err
+		}},
+		{"transaction", func(ctx context.Context, conn *pgx.Conn, id string) error {
+			return pgx.BeginFunc(ctx, conn, func(tx pgx.Tx) error {
+				_, err := tx.Exec(ctx, "INSERT INTO kept VALUES ($1)", id)
+
+				return err
+			})
+		}},
+		{"batch", func(ctx context.Context, conn *pgx.Conn, id string) error {
+			requests := &pgx.Batch{}
+			requests.Queue("INSERT INTO kept VALUES ($1)", id)
+			requests.Queue("SELECT count(*) FROM kept WHERE id = $1", id)
+
+			return conn.SendBatch(ctx, requests).Close()
+		}},
+		{"long read", func(ctx context.Context, conn *pgx.Conn, _ string) error {
+			_, err := conn.Exec(ctx, "SELECT pg_sleep(20)")
+
+			return err
+		}},
+		{"long write", func(ctx context.Context, conn *pgx.Conn, id string) error {
+			// The stand-in allows one writing transaction at a time, so the other writes wait for this one.
+			<-writesDone
+			_, err := conn.PgConn().Exec(ctx, "INSERT INTO kept VALUES ('"+id+"'); SELECT pg_sleep(20)").ReadAll()
+
+			return err
+		}},
+	}
+
+	var (
+		callers  sync.WaitGroup
+		mutex    sync.Mutex
+		outcomes = make(map[string]outcome)
+		codes    = make(map[result.Code]int)
+		cut      []string
+	)
+
+	for _, kind := range kinds {
+		for n := range callersPerKind {
+			callers.Go(func() {
+				for count := 0; ; count++ {
+					conn, err := d.tryConnect(proxy, "", "")
+					if err != nil {
+						select {
+						case <-proxy.exited:
+							return
+						default:
+							continue
+						}
+					}
+
+					for ; err == nil; count++ {
+						id := fmt.Sprintf("%s-%d-%d", kind.name, n, count)
+						err = kind.run(context.Background(), conn, id)
+						_, code := codeOf(err)
+
+						mutex.Lock()
+						outcomes[id] = outcomeOf(err)
+
+						if err != nil {
+							codes[code]++
+						}
+
+						if err != nil && code == result.OK {
+							cut = append(cut, fmt.Sprintf("%s: %v", id, err))
+						}
+						mutex.Unlock()
+					}
+
+					_ = conn.Close(context.Background())
+				}
+			})
+		}
+	}
+
+	eventually(t, "answers", conditionTimeout, func() error {
+		mutex.Lock()
+		defer mutex.Unlock()
+
+		if len(outcomes) < 100 {
+			return fmt.Errorf("%d", len(outcomes))
+		}
+
+		return nil
+	})
+	close(writesDone)
+	eventually(t, "long reads and a long write", conditionTimeout, func() error {
+		running := 0
+		for _, member := range d.members {
+			running += countActivity(t, member, "state = 'active' AND query LIKE '%pg_sleep(20)%' AND application_name LIKE 'ag/%'")
+		}
+
+		if running <= callersPerKind {
+			return fmt.Errorf("%d", running)
+		}
+
+		return nil
+	})
+	proxy.signal(syscall.SIGTERM)
+	<-proxy.exited
+	callers.Wait()
+
+	counts := map[outcome]int{}
+	for _, reported := range outcomes {
+		counts[reported]++
+	}
+
+	t.Logf("1 stop; %d acknowledged, %d not run, %d unknown, codes %v; %d cut off", counts[outcomeAcknowledged], counts[outcomeNotRun],
+		counts[outcomeUnknown], codes, len(cut))
+	assert.Empty(t, cut)
+
+	rows, err := d.connect(d.proxies[1], "").Query(context.Background(), "SELECT id FROM kept")
+	require.NoError(t, err)
+	ids, err := pgx.CollectRows(rows, pgx.RowTo[string])
+	require.NoError(t, err)
+
+	kept := make(map[string]bool)
+	for _, id := range ids {
+		kept[id] = true
+	}
+
+	for id, reported := range outcomes {
+		assert.False(t, reported == outcomeAcknowledged && !kept[id], "%s was acknowledged and is missing", id)
+		assert.False(t, reported == outcomeNotRun && kept[id], "%s was refused as not run and exists", id)
+	}
+
+	require.Positive(t, counts[outcomeAcknowledged])
+	require.Positive(t, counts[outcomeUnknown])
+}
