managedproxy, manageddaemon: test the parts of a planned stop that no deterministic test covered

Each of these changes of the product code passed the deterministic tests of a planned stop: not closing the listener before the last look, not looking again after that, interrupting sessions and rolling other proxies' transactions back before half of the grace, ending new sessions before their first statement, keeping other proxies' transactions, and closing the connection right after the answer to a statement that still runs.

The fixture rolled transactions back after 30 ms without a statement, so TestPlannedStopEndsIdleTransactions also passed where the stop itself rolled back nothing. The tests of a planned stop now use a timeout of a minute; with that it fails there.

--- a/internal/manageddaemon/proxy_test.go
+++ b/internal/manageddaemon/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/netip"
 	"testing"
@@ -65,3 +66,56 @@
 	require.NotNil(t, reply)
 	assert.True(t, reply.Declined && reply.NotRun, "%+v", reply)
 }
+
+// silentCaller is a caller that sends no login for a while and leaves then.
+type silentCaller struct {
+	managedproxy.Caller
+
+	closed chan struct{}
+}
+
+// Login implements managedproxy.Caller.
+func (c *silentCaller) Login(time.Time) (managedproxy.Login, error) {
+	time.Sleep(400 * time.Millisecond)
+
+	return managedproxy.Login{}, errors.New("the caller has left")
+}
+
+// Interrupt implements managedproxy.Caller.
+func (c *silentCaller) Interrupt() {}
+
+// Close implements managedproxy.Caller.
+func (c *silentCaller) Close() { close(c.closed) }
+
+// Guards against a caller that is accepted between the last look at the work that is left and the end of accepting: its
+// first statement would be cut off by the end of the process.
+func TestCallerAcceptedAtTheLastLookIsWaitedFor(t *testing.T) {
+	t.Parallel()
+
+	late := &silentCaller{closed: make(chan struct{})}
+
+	proxy, err := NewProxy(ProxyOptions{
+		Name: "vm1", Address: netip.MustParseAddrPort("127.0.0.1:0"), ControlAddresses: func() []netip.AddrPort { return nil },
+		MemoryLimit: 1 << 30, ShutdownGrace: 2 * time.Second, Logger: slog.New(slog.DiscardHandler),
+	})
+	require.NoError(t, err)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+
+	calls := 0
+
+	proxy.Run(ctx, func() {
+		calls++
+
+		proxy.Gateway().Accept(late)
+	})
+
+	assert.Equal(t, 1, calls)
+
+	select {
+	case <-late.closed:
+	case <-time.After(20 * time.Millisecond):
+		assert.Fail(t, "the process ended while a caller was logging in")
+	}
+}
--- a/internal/managedproxy/drain_test.go
+++ b/internal/managedproxy/drain_test.go
@@ -18,7 +18,7 @@
 func TestPlannedStopClosesSessions(t *testing.T) {
 	t.Parallel()
 
-	f := newFixture(t)
+	f := newDrainFixture(t)
 	idle, single, busy := f.connect("latest"), f.connect("latest"), f.connect("latest")
 	require.NoError(t, idle.ask(Read, "READ 1").Err)
 	require.NoError(t, single.ask(Read, "READ 1").Err)
@@ -49,7 +49,7 @@
 func TestPlannedStopCountsLogins(t *testing.T) {
 	t.Parallel()
 
-	f := newFixture(t)
+	f := newDrainFixture(t)
 	late := newLateClient()
 
 	f.gateway.Accept(late)
@@ -67,7 +67,7 @@
 func TestPlannedStopEndsSilentLogins(t *testing.T) {
 	t.Parallel()
 
-	f := newFixture(t)
+	f := newDrainFixture(t)
 	silent := newLateClient()
 
 	f.gateway.Accept(silent)
@@ -100,7 +100,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 
-			f := newFixture(t)
+			f := newDrainFixture(t)
 			session := f.connect("latest")
 			require.NoError(t, session.ask(Begin, "BEGIN").Err)
 			require.NoError(t, session.ask(Write, "WRITE 1 a").Err)
@@ -130,7 +130,7 @@
 func TestPlannedStopEndsIdleTransactions(t *testing.T) {
 	t.Parallel()
 
-	f := newFixture(t)
+	f := newDrainFixture(t)
 	session := f.connect("latest")
 	require.NoError(t, session.ask(Begin, "BEGIN").Err)
 	require.NoError(t, session.ask(Write, "WRITE 1 a").Err)
@@ -165,7 +165,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 
-			f := newFixture(t)
+			f := newDrainFixture(t)
 			session := f.connect("latest")
 
 			if test.inTransaction {
@@ -232,3 +232,14 @@
 		closed: make(chan struct{}), login: make(chan struct{}),
 	}
 }
+
+// newDrainFixture returns a fixture in which only a planned stop rolls back idle transactions.
+func newDrainFixture(t *testing.T) *fixture {
+	t.Helper()
+
+	f := newFixture(t)
+	f.idleTimeout = time.Minute
+	f.applyConfiguration(2)
+
+	return f
+}
--- a/internal/managedproxy/drainrace_test.go
+++ b/internal/managedproxy/drainrace_test.go
@@ -56,7 +56,7 @@
 func TestPlannedStopAnswersStatementThatEndsMeanwhile(t *testing.T) {
 	t.Parallel()
 
-	f := newFixture(t)
+	f := newDrainFixture(t)
 	session := f.connectSlow("latest")
 
 	received, finish := make(chan struct{}), make(chan struct{})
@@ -90,6 +90,65 @@
 	reply := <-session.replies
 	assert.Equal(t, result.ConnectionLost, result.CodeOf(reply.Err))
 	<-session.closed
+	assert.NotNil(t, session.ended.Load(), "the next statement may be on its way")
 	require.Eventually(t, func() bool { return f.gateway.WorkLeft().Total() == 0 }, conditionTimeout, time.Millisecond)
 	assert.Empty(t, session.replies, "a statement has one answer")
 }
+
+// Guards against a planned stop that ends sessions too early: idle ones while the proxy still accepts operations, and new ones
+// whose first statement is on its way.
+func TestPlannedStopWaitsForStatementsThatFollow(t *testing.T) {
+	t.Parallel()
+
+	f := newDrainFixture(t)
+	idle := f.connect("latest")
+	require.NoError(t, idle.ask(Read, "READ 1").Err)
+
+	f.gateway.Drain()
+	f.gateway.ContinueDrain(drain.Closing)
+
+	created := f.connect("latest")
+	require.Eventually(t, func() bool { return f.gateway.WorkLeft() == DrainWork{Sessions: 2} }, conditionTimeout, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, DrainWork{Sessions: 2}, f.gateway.WorkLeft())
+
+	f.gateway.ContinueDrain(drain.Refusing)
+	<-idle.closed
+	require.NoError(t, created.ask(Read, "READ 1").Err)
+	<-created.closed
+}
+
+// Guards against a holder that keeps a transaction of another proxy's caller until the end of a planned stop.
+func TestPlannedStopRollsBackTransactionsOfOthers(t *testing.T) {
+	t.Parallel()
+
+	h := newForwardFixture(t)
+
+	for _, f := range append(h.fixtures(), h.front) {
+		f.idleTimeout = time.Minute
+		f.applyConfiguration(2)
+	}
+
+	session := h.front.connect("latest")
+	require.NoError(t, session.ask(Begin, "BEGIN").Err)
+	require.NoError(t, session.ask(Write, "WRITE 1 a").Err)
+
+	held := 0
+
+	for _, holder := range h.holders {
+		holder.gateway.Drain()
+		holder.gateway.ContinueDrain(drain.Closing)
+
+		held += holder.gateway.WorkLeft().HeldTransactions
+	}
+
+	require.Equal(t, 1, held)
+
+	for _, holder := range h.holders {
+		holder.gateway.ContinueDrain(drain.Refusing)
+		require.Eventually(t, func() bool { return holder.gateway.WorkLeft().Total() == 0 }, conditionTimeout, time.Millisecond)
+	}
+
+	reply := session.ask(Commit, "COMMIT")
+	assert.True(t, IsRolledBack(reply.Err), "%v", reply.Err)
+}
