manageddaemon: answer running statements also if the stop skips that phase

With a short grace period, or when the process did not run for a while, a stop goes from an early phase to its end at once, and the statements that ran got no answer. They are now answered before the end, 0.2 s at most.

Ruled out: a later end in such a case, because the process is killed then.

--- a/core/drain/doc.go
+++ b/core/drain/doc.go
@@ -5,8 +5,8 @@
 // phases, each of which accepts less than the one before:
 //
 //   - Serving: the load balancer may not have noticed the stop yet, so everything is accepted.
-//   - Closing: callers that come all the same are accepted, but a session ends after its next answer outside a transaction.
-//     No statement of its caller is on its way then, as may be the case at any other time.
+//   - Closing: callers that come all the same are accepted, but a session ends after its next operation. Few callers have a
+//     statement on its way at that moment.
 //   - Refusing: new callers are refused, idle sessions end, and open transactions are rolled back.
 //   - Answering: the process answers the statements that still run, as their outcome will not be known in time.
 //   - Ended: the process ends.
--- a/internal/manageddaemon/proxy.go
+++ b/internal/manageddaemon/proxy.go
@@ -35,6 +35,8 @@
 	loadBalancerDelay = 2300 * time.Millisecond
 	// drainInterval is the time between two looks at what is left to do while a proxy shuts down.
 	drainInterval = 50 * time.Millisecond
+	// lastAnswersTimeout bounds the sending of answers when there was no time for it before.
+	lastAnswersTimeout = 200 * time.Millisecond
 	// gcPercent makes the garbage collector keep the heap small, and softMemoryShare is the fraction of the memory limit
 	// above which the collector runs more often.
 	gcPercent       = 50
@@ -268,6 +270,8 @@
 
 		if next == drain.Ended {
 			if !accepting {
+				p.answerLeft(phase)
+
 				break
 			}
 
@@ -297,6 +301,23 @@
 	p.logDrain("draining of callers ended", drain.Ended, began)
 }
 
+// answerLeft answers the statements that still run if the phase of that was skipped, because the process did not run for a
+// while or the grace period is short.
+func (p *Proxy) answerLeft(phase drain.Phase) {
+	if phase >= drain.Answering {
+		return
+	}
+
+	for range int(lastAnswersTimeout / drainInterval) {
+		if p.gateway.WorkLeft().Total() == 0 {
+			return
+		}
+
+		p.gateway.ContinueDrain(drain.Answering)
+		_ = timer.Sleep(context.Background(), drainInterval) // The context never ends.
+	}
+}
+
 func (p *Proxy) logDrain(event string, phase drain.Phase, began time.Time) {
 	left := p.gateway.WorkLeft()
 	p.options.Logger.Info(event, "phase", phase.String(), "sessions", left.Sessions, "logins", left.Logins, "forwardedStatements",
