internal/daemon: answer operators' calls before a control process stops its gRPC server

Operators whose call was in progress at a control process that was stopped got an EOF after 2 s, so they did not know whether their change was made.

Cause: the gRPC server was stopped before the operators' listener was closed. Calls in progress there are forwarded to the leader, which may be the same process; they found no leader and were cut off when the shutdown of the listener ran into its limit (httpCloseTimeout).

The operators' listener is now closed first, which waits for its calls while the process still answers. Ruled out: proxies, whose HTTP listeners are closed before their gRPC server and their client of control already.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -61,26 +61,30 @@
 	group.Register(server)
 	service.Register(server)
 
+	closeOperators := func() {}
+
 	if loaded.VM.Operator.IsValid() {
-		operators, err := startOperatorServer(options, keys, clock, counters, state)
-		if err != nil {
+		if closeOperators, err = startOperatorServer(options, keys, clock, counters, state); err != nil {
 			return err
 		}
-		defer operators()
 	}
 
 	logger.Info("control process started", "name", loaded.VM.Name, "address", loaded.VM.Control)
 
-	return serveControl(ctx, server, listener, group.Failed(), logger)
+	return serveControl(ctx, server, listener, group.Failed(), closeOperators, logger)
 }
 
-// serveControl runs the gRPC server of a control process until the context ends, or the server or the log fails.
-func serveControl(ctx context.Context, server *grpc.Server, listener net.Listener, failed <-chan error, logger *slog.Logger) error {
+// serveControl runs the gRPC server of a control process until the context ends, or the server or the log fails. It closes
+// the operators' listener first, because calls in progress there need the gRPC server.
+func serveControl(
+	ctx context.Context, server *grpc.Server, listener net.Listener, failed <-chan error, closeOperators func(), logger *slog.Logger,
+) error {
 	ended := make(chan error, 1)
 
 	go func() { ended <- server.Serve(listener) }()
 
 	defer server.Stop()
+	defer closeOperators()
 
 	select {
 	case <-ctx.Done():
--- a/internal/systemtest/stop_test.go
+++ b/internal/systemtest/stop_test.go
@@ -1,6 +1,7 @@
 package systemtest_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -619,3 +620,49 @@
 	require.Positive(t, counts[outcomeAcknowledged])
 	require.Positive(t, counts[outcomeUnknown])
 }
+
+// Guards against an operator's call that is cut off because its control process stops answering other processes, and itself,
+// before the calls in progress have ended. The call is in progress from when the process asks for its body.
+func TestStopOfControlAnswersOperators(t *testing.T) {
+	d := deploy(t, deployOptions{controls: 1, proxies: 1, members: 3})
+	control := d.controls[0]
+	body := `{"server":"studentsc","undo":true}`
+	conn, err := net.Dial("tcp", control.operatorAddress)
+	require.NoError(t, err)
+
+	defer conn.Close()
+
+	_, err = fmt.Fprintf(conn, "POST /v1/drain HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n"+
+		"Expect: 100-continue\r\n\r\n", control.operatorAddress, len(body))
+	require.NoError(t, err)
+
+	reader := bufio.NewReader(conn)
+	status, err := reader.ReadString('\n')
+	require.NoError(t, err)
+	require.Contains(t, status, "100")
+	_, err = reader.ReadString('\n')
+	require.NoError(t, err)
+
+	control.signal(syscall.SIGTERM)
+	eventually(t, "new calls are refused", conditionTimeout, func() error {
+		other, err := net.Dial("tcp", control.operatorAddress)
+		if err == nil {
+			_ = other.Close()
+
+			return fmt.Errorf("accepted")
+		}
+
+		return nil
+	})
+
+	_, err = conn.Write([]byte(body))
+	require.NoError(t, err)
+
+	reply, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	require.NoError(t, reply.Body.Close())
+	assert.Equal(t, http.StatusOK, reply.StatusCode)
+
+	<-control.exited
+	assert.Equal(t, 0, control.command.ProcessState.ExitCode(), "exit code of the control process")
+}
