--- a/internal/managedproxy/doc.go
+++ b/internal/managedproxy/doc.go
@@ -25,6 +25,12 @@
 // ForwardRequest. The holder chooses the server, queues the statement and keeps open transactions, as it does for its
 // own callers.
 //
+// # Planned stops
+//
+// Drain and ContinueDrain end the work of the callers in the phases of package drain. Every statement that a caller has sent gets
+// an answer: its result, a refusal that is true because the statement has not run, or an unknown outcome. Before the connection
+// of a caller is closed, Caller.EndSession tells it why, which also answers a statement that is on its way.
+//
 // # Usage
 //
 //	gateway := managedproxy.New(managedproxy.Options{Dial: dial, Centre: "north", Logger: logger, Metrics: counts, Timer: clock})
