io/backlog: accept the queued connections of a listener in one place

The server of calls between proxies and that of calls to control processes each had their own code for taking the connections that wait in the queue of a listener before it is closed, because closing it resets them.

Ruled out: Accept of net.Listener with a deadline in the past; it fails without a look at the queue. Measured: go test -race -count=3 of io/backlog and io/managedpeer and the tests of controlServer in platform pass.

--- a/io/managedpeer/server.go
+++ b/io/managedpeer/server.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"almondgrade/io/backlog"
 )
 
 // Server answers the calls of other proxies.
@@ -102,11 +104,7 @@
 
 	ended := s.awaitIdle(limit.C)
 
-	for queued := acceptQueued(s.listener); len(queued) > 0; queued = acceptQueued(s.listener) {
-		for _, conn := range queued {
-			s.register(conn)
-		}
-
+	for s.registerQueued() {
 		ended = ended && s.awaitIdle(limit.C)
 	}
 
@@ -127,6 +125,17 @@
 	}
 }
 
+// registerQueued adds the connections that wait to be accepted, and reports whether there were any.
+func (s *Server) registerQueued() (found bool) {
+	for conn, queued := backlog.Accept(s.listener); queued; conn, queued = backlog.Accept(s.listener) {
+		s.register(conn)
+
+		found = true
+	}
+
+	return found
+}
+
 // awaitIdle waits until no connection, call or notice is in progress. It returns false at the limit.
 func (s *Server) awaitIdle(limit <-chan time.Time) bool {
 	for {
