core/pairing, managedproxy: count answers that repeat an earlier one

Nothing in logs or metrics told an answer that belongs to another request from one that the server had garbled, so the hypotheses of the incident could not be told apart: lines that end too early show up as MALFORMED requests and unknown messages, but a repeated answer left no trace at all.

core/pairing judges each answer by its content: a signature that the connection has seen is a repetition, and an answer without a signature can only be one if it equals an earlier one. The verdicts are counted (answers_repeated, answers_ambiguous, answers_late, answers_invalid), and the first repetition of a server is logged. Nothing acts on them yet.

Ruled out: comparing request ids, because answers have none; a look at the connection before each statement, because a repetition may arrive after the statement was sent.

--- /dev/null
+++ b/core/pairing/doc.go
@@ -0,0 +1,34 @@
+// Package pairing pairs the answers on a connection with the commands that were sent on it, for a protocol whose answers
+// do not name their command.
+//
+// It is built for servers that may send an answer a second time, at any later moment: also after the next command was
+// sent. A client that takes the next answer for the next command is then one answer behind for the rest of the
+// connection. A Tracker tells the answers apart by their content instead:
+//
+//   - The signature of an answer is unique. An answer with a signature that the connection has seen is a repetition, and
+//     one with a new signature is genuine.
+//   - An answer without a signature can be a repetition only if it equals an earlier one. If it does, and if it could also
+//     be the answer to the command that was sent last, it is ambiguous.
+//
+// After an ambiguous failure of a command whose answer would have had a signature, the client resolves the doubt before
+// it sends another such command: it sends a command without a signature. If the failure was a repetition, the
+// genuine answer arrives before the answer to that, as a late one.
+//
+// # Limits
+//
+// A Tracker remembers the last 1,024 signatures and 64 other answers of a connection. A repetition of an older answer is taken for
+// a genuine one. Two repetitions at the same moment, one of a refusal and one of the command that resolves the doubt, are
+// not told apart either.
+//
+// A Tracker has no clock and is not safe for concurrent use.
+//
+// # Usage
+//
+//	tracker := pairing.NewTracker(pairing.Answer[string]{State: "I"})
+//	switch tracker.Judge(pairing.Command[string]{Signed: true}, answer) {
+//	case pairing.Repeated:
+//		// Read the next answer.
+//	case pairing.Genuine:
+//		return answer
+//	}
+package pairing
--- /dev/null
+++ b/core/pairing/tracker.go
@@ -0,0 +1,197 @@
+package pairing
+
+import (
+	"hash/maphash"
+	"slices"
+)
+
+// Verdict says what an answer is.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Genuine means that the answer is that to the command.
+	Genuine Verdict = iota + 1
+	// Ambiguous means that the answer is either that to the command or a repetition of an earlier one.
+	Ambiguous
+	// Repeated means that the answer repeats an earlier one. The answer to the command is still to come.
+	Repeated
+	// Late means that the answer is that to an earlier command, whose first answer was ambiguous and in fact a repetition.
+	// The answer to the command is still to come.
+	Late
+	// Invalid means that the answer is none of these, so that the connection can't be used any longer.
+	Invalid
+)
+
+// Command is what a Tracker must know of a command. S is the type of the state of a session, such as being in a
+// transaction.
+type Command[S comparable] struct {
+	// Signed is true if success has a signature.
+	Signed bool
+	// State is the state after success of a command that is not signed.
+	State S
+	// AnyState is true if the command does not determine the state.
+	AnyState bool
+}
+
+// Kind is the kind of an answer.
+type Kind uint8
+
+// The kinds of answers. A greeting is the answer to a login.
+const (
+	Greeting Kind = iota
+	Success
+	Failure
+)
+
+// Answer is a whole answer of a server.
+type Answer[S comparable] struct {
+	Kind Kind
+	// Signature is empty if the answer has none.
+	Signature string
+	// Rows are the rows before the end of the answer.
+	Rows []string
+	// Detail is the code and the reason of a failure.
+	Detail string
+	State  S
+}
+
+const (
+	// rememberedSignatures bounds the signatures that are remembered for a connection. It covers 5 s of 200 statements a
+	// second.
+	rememberedSignatures = 1024
+	// rememberedOthers bounds the other answers that are remembered. A connection rarely gets more than ten different ones.
+	rememberedOthers = 64
+)
+
+// Tracker judges the answers on one connection.
+type Tracker[S comparable] struct {
+	seed       maphash.Seed
+	signatures recent
+	others     recent
+	// unresolved is true if a command with a signature has an ambiguous failure and may still be answered.
+	unresolved bool
+	// signsOthers is true if the server signs answers to commands that are not signed. Such signatures need not be unique.
+	signsOthers bool
+}
+
+// NewTracker returns a tracker for a connection whose login was answered with a greeting.
+func NewTracker[S comparable](greeting Answer[S]) *Tracker[S] {
+	created := &Tracker[S]{seed: maphash.MakeSeed()}
+	created.others.add(created.digest(greeting), rememberedOthers)
+
+	return created
+}
+
+// Judge returns what an answer is that arrives after a command was sent and all commands before it were answered.
+func (t *Tracker[S]) Judge(command Command[S], answer Answer[S]) Verdict {
+	if answer.Signature != "" {
+		if verdict := t.judgeSigned(command, answer); verdict != 0 {
+			return verdict
+		}
+	}
+
+	repeats := !t.others.add(t.digest(answer), rememberedOthers)
+
+	switch {
+	case answer.Kind == Failure && command.Signed && t.unresolved:
+		return Invalid
+	case answer.Kind == Failure && !repeats:
+		return Genuine
+	case answer.Kind == Failure:
+		t.unresolved = t.unresolved || command.Signed
+
+		return Ambiguous
+	case answer.Kind == Greeting || command.Signed:
+		// A success without the signature that it must have, or a greeting amid the session.
+		if repeats {
+			return Repeated
+		}
+
+		return Invalid
+	case repeats && !command.AnyState && answer.State != command.State:
+		return Repeated
+	}
+
+	// The server runs commands in order, so the answers to all commands before this one have arrived.
+	t.unresolved = false
+
+	if repeats {
+		return Ambiguous
+	}
+
+	return Genuine
+}
+
+// judgeSigned returns the verdict on an answer with a signature, or zero if the signature does not decide.
+func (t *Tracker[S]) judgeSigned(command Command[S], answer Answer[S]) Verdict {
+	hash := maphash.String(t.seed, answer.Signature)
+
+	switch {
+	case t.signatures.has(hash):
+		return Repeated
+	case command.Signed && t.signsOthers && t.others.has(t.digest(answer)):
+		return Repeated
+	case command.Signed && t.unresolved:
+		return Invalid
+	case command.Signed:
+		t.signatures.add(hash, rememberedSignatures)
+
+		return Genuine
+	case t.unresolved:
+		t.signatures.add(hash, rememberedSignatures)
+		t.unresolved = false
+
+		return Late
+	default:
+		t.signsOthers = true
+
+		return 0
+	}
+}
+
+// digest returns a hash of an answer without a signature. The seed differs from connection to connection, so that no
+// server can prepare a collision.
+func (t *Tracker[S]) digest(answer Answer[S]) uint64 {
+	var hash maphash.Hash
+
+	hash.SetSeed(t.seed)
+	maphash.WriteComparable(&hash, answer.Kind)
+	maphash.WriteComparable(&hash, answer.State)
+	maphash.WriteComparable(&hash, answer.Detail)
+	maphash.WriteComparable(&hash, answer.Signature)
+
+	for _, row := range answer.Rows {
+		maphash.WriteComparable(&hash, row)
+	}
+
+	return hash.Sum64()
+}
+
+// recent is a set of the hashes that were added last.
+type recent struct {
+	hashes []uint64
+	next   int
+}
+
+func (r *recent) has(hash uint64) bool {
+	return slices.Contains(r.hashes, hash)
+}
+
+// add adds a hash and returns true, unless the set has it. A full set drops the oldest one.
+func (r *recent) add(hash uint64, limit int) bool {
+	if r.has(hash) {
+		return false
+	}
+
+	if len(r.hashes) < limit {
+		r.hashes = append(r.hashes, hash)
+
+		return true
+	}
+
+	r.hashes[r.next] = hash
+	r.next = (r.next + 1) % limit
+
+	return true
+}
--- a/internal/managedproxy/conn.go
+++ b/internal/managedproxy/conn.go
@@ -161,6 +161,7 @@
 	}
 
 	for i, command := range commands {
+		c.server.recordVerdict(answers[i].Verdict)
 		c.recordEffect(command, answers[i].Outcome)
 	}
 
--- a/internal/managedproxy/server.go
+++ b/internal/managedproxy/server.go
@@ -33,6 +33,7 @@
 	info              atomic.Pointer[managedcontrol.Server]
 	connPool          *connPool
 	dial              Dialer
+	answers           answerCounts
 	runningStatements atomic.Int64
 	// runningCommits counts the commits that were sent or are about to be sent, openWrites the open transactions that have
 	// written.
--- a/internal/managedproxy/statement.go
+++ b/internal/managedproxy/statement.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"almondgrade/core/pairing"
 	"almondgrade/core/position"
 )
 
@@ -124,6 +125,8 @@
 	Position position.Position
 	// Status is the answer to a command whose kind reports the status.
 	Status *ServerStatus
+	// Verdict says whether the answer may be a repetition of an earlier one. It is zero if the connection does not tell.
+	Verdict pairing.Verdict
 }
 
 // Backend is a connection to a backend server. It is used by one goroutine at a time.
--- a/internal/managedproxy/view.go
+++ b/internal/managedproxy/view.go
@@ -184,6 +184,7 @@
 			}
 
 			known = newServer(info, g.options.Dial)
+			known.answers.metrics, known.answers.logger = g.options.Metrics, g.options.Logger
 			known.joinGroup(g.groupCapacity(info.Group))
 			g.servers[info.ID] = known
 		}
