managedproxy, platform: pair answers with commands by their content

Callers got rows and signatures of other requests, statements ran inside other sessions' transactions, a refused write had been carried out, and a write took effect twice: 755 repeated answers in 3 s made callers read wrong answers, and beside refusals a write took effect twice.

Cause: an answer does not name its request, and the proxy took the next answer for the next command. After one repetition every statement on the connection got the answer to the one before it. A repeated refusal was taken for the answer to a write that ran.

Change: core/pairing judges each answer. A signature that the connection has seen is passed over, and so is a success that can't be the answer to the command. A refusal that equals an earlier one is ambiguous: behind a write or a commit the proxy sends a command whose success has no signature; the genuine answer, if there is one, arrives before the answer to that. A transaction with an ambiguous failure is rolled back by closing its connection, and a read runs elsewhere while the connection is reset before its next use. Once a server has certainly repeated an answer, the proxy drops what has arrived before it sends the next statement, and confirms the success of SET, RESET and BEGIN by a second answer.

--- a/core/pairing/doc.go
+++ b/core/pairing/doc.go
@@ -14,10 +14,13 @@
 // it sends another such command: it sends a command without a signature. If the failure was a repetition, the
 // genuine answer arrives before the answer to that, as a late one.
 //
+// A client that knows that the server repeats answers calls Distrust, and drops what has arrived before it sends the next
+// command.
+//
 // # Limits
 //
-// A Tracker remembers the last 1,024 signatures and 64 other answers of a connection. A repetition of an older answer is taken for
-// a genuine one. Two repetitions at the same moment, one of a refusal and one of the command that resolves the doubt, are
+// A Tracker remembers signatures for 30 s of use and the last 64 other answers. A repetition of an older answer is taken
+// for a genuine one. Two repetitions at the same moment, one of a refusal and one of the command that resolves the doubt, are
 // not told apart either.
 //
 // A Tracker has no clock and is not safe for concurrent use.
@@ -25,7 +28,7 @@
 // # Usage
 //
 //	tracker := pairing.NewTracker(pairing.Answer[string]{State: "I"})
-//	switch tracker.Judge(pairing.Command[string]{Signed: true}, answer) {
+//	switch tracker.Judge(time.Now(), pairing.Command[string]{Signed: true}, answer) {
 //	case pairing.Repeated:
 //		// Read the next answer.
 //	case pairing.Genuine:
--- a/core/pairing/tracker.go
+++ b/core/pairing/tracker.go
@@ -2,7 +2,7 @@
 
 import (
 	"hash/maphash"
-	"slices"
+	"time"
 )
 
 // Verdict says what an answer is.
@@ -56,47 +56,47 @@
 	State  S
 }
 
-const (
-	// rememberedSignatures bounds the signatures that are remembered for a connection. It covers 5 s of 200 statements a
-	// second.
-	rememberedSignatures = 1024
-	// rememberedOthers bounds the other answers that are remembered. A connection rarely gets more than ten different ones.
-	rememberedOthers = 64
-)
+// rememberedOthers bounds the answers without a signature that are remembered. A connection rarely gets more than ten different
+// ones.
+const rememberedOthers = 64
 
 // Tracker judges the answers on one connection.
 type Tracker[S comparable] struct {
 	seed       maphash.Seed
-	signatures recent
-	others     recent
+	signatures recentSet
+	others     ring
 	// unresolved is true if a command with a signature has an ambiguous failure and may still be answered.
 	unresolved bool
 	// signsOthers is true if the server signs answers to commands that are not signed. Such signatures need not be unique.
 	signsOthers bool
+	// distrusts is true if the server is known to repeat answers. uncertain is then true if an answer without a signature was
+	// taken that may be a repetition, so that the answer to its command may still arrive.
+	distrusts bool
+	uncertain bool
 }
 
 // NewTracker returns a tracker for a connection whose login was answered with a greeting.
 func NewTracker[S comparable](greeting Answer[S]) *Tracker[S] {
 	created := &Tracker[S]{seed: maphash.MakeSeed()}
-	created.others.add(created.digest(greeting), rememberedOthers)
+	created.others.add(created.digest(greeting))
 
 	return created
 }
 
 // Judge returns what an answer is that arrives after a command was sent and all commands before it were answered.
-func (t *Tracker[S]) Judge(command Command[S], answer Answer[S]) Verdict {
+func (t *Tracker[S]) Judge(now time.Time, command Command[S], answer Answer[S]) Verdict {
 	if answer.Signature != "" {
-		if verdict := t.judgeSigned(command, answer); verdict != 0 {
+		if verdict := t.judgeSigned(now, command, answer); verdict != 0 {
 			return verdict
 		}
 	}
 
-	repeats := !t.others.add(t.digest(answer), rememberedOthers)
+	repeats := !t.others.add(t.digest(answer))
 
 	switch {
 	case answer.Kind == Failure && command.Signed && t.unresolved:
 		return Invalid
-	case answer.Kind == Failure && !repeats:
+	case answer.Kind == Failure && !repeats && !(command.Signed && t.uncertain):
 		return Genuine
 	case answer.Kind == Failure:
 		t.unresolved = t.unresolved || command.Signed
@@ -117,14 +117,35 @@
 	t.unresolved = false
 
 	if repeats {
+		t.uncertain = t.distrusts
+
 		return Ambiguous
 	}
 
 	return Genuine
 }
 
+// Distrust tells the tracker that the server is known to repeat answers. From then on a failure behind an ambiguous success is
+// ambiguous, too.
+func (t *Tracker[S]) Distrust() {
+	t.distrusts = true
+}
+
+// Drop records an answer that has arrived after all commands were answered.
+func (t *Tracker[S]) Drop(now time.Time, answer Answer[S]) {
+	if answer.Signature == "" || t.signsOthers {
+		t.others.add(t.digest(answer))
+
+		return
+	}
+
+	if t.signatures.add(now, maphash.String(t.seed, answer.Signature)) {
+		t.unresolved = false
+	}
+}
+
 // judgeSigned returns the verdict on an answer with a signature, or zero if the signature does not decide.
-func (t *Tracker[S]) judgeSigned(command Command[S], answer Answer[S]) Verdict {
+func (t *Tracker[S]) judgeSigned(now time.Time, command Command[S], answer Answer[S]) Verdict {
 	hash := maphash.String(t.seed, answer.Signature)
 
 	switch {
@@ -135,11 +156,12 @@
 	case command.Signed && t.unresolved:
 		return Invalid
 	case command.Signed:
-		t.signatures.add(hash, rememberedSignatures)
+		t.signatures.add(now, hash)
+		t.uncertain = false
 
 		return Genuine
 	case t.unresolved:
-		t.signatures.add(hash, rememberedSignatures)
+		t.signatures.add(now, hash)
 		t.unresolved = false
 
 		return Late
@@ -167,31 +189,3 @@
 
 	return hash.Sum64()
 }
-
-// recent is a set of the hashes that were added last.
-type recent struct {
-	hashes []uint64
-	next   int
-}
-
-func (r *recent) has(hash uint64) bool {
-	return slices.Contains(r.hashes, hash)
-}
-
-// add adds a hash and returns true, unless the set has it. A full set drops the oldest one.
-func (r *recent) add(hash uint64, limit int) bool {
-	if r.has(hash) {
-		return false
-	}
-
-	if len(r.hashes) < limit {
-		r.hashes = append(r.hashes, hash)
-
-		return true
-	}
-
-	r.hashes[r.next] = hash
-	r.next = (r.next + 1) % limit
-
-	return true
-}
--- a/internal/managedcontroller/commitstop_test.go
+++ b/internal/managedcontroller/commitstop_test.go
@@ -218,6 +218,9 @@
 	return []managedproxy.Answer{a(commands[0])}, nil
 }
 
+// DropUnexpected implements managedproxy.Backend.
+func (a answeringConn) DropUnexpected() int { return 0 }
+
 // Alive implements managedproxy.Backend.
 func (a answeringConn) Alive() bool { return true }
 
--- a/internal/managedcontroller/controller_test.go
+++ b/internal/managedcontroller/controller_test.go
@@ -183,6 +183,9 @@
 	}}}, nil
 }
 
+// DropUnexpected implements managedproxy.Backend.
+func (p *probeConn) DropUnexpected() int { return 0 }
+
 // Alive implements managedproxy.Backend.
 func (p *probeConn) Alive() bool { return true }
 
--- a/internal/manageddaemon/skippedphase_test.go
+++ b/internal/manageddaemon/skippedphase_test.go
@@ -31,6 +31,9 @@
 	return nil, errors.New("the connection ended")
 }
 
+// DropUnexpected implements managedproxy.Backend.
+func (b *silentBackend) DropUnexpected() int { return 0 }
+
 // Alive implements managedproxy.Backend.
 func (b *silentBackend) Alive() bool { return true }
 
--- a/internal/managedproxy/answercounts.go
+++ b/internal/managedproxy/answercounts.go
@@ -1,6 +1,7 @@
 package managedproxy
 
 import (
+	"errors"
 	"log/slog"
 	"sync/atomic"
 
@@ -17,25 +18,40 @@
 	repeats atomic.Bool
 }
 
-// recordVerdict counts an answer.
-func (s *server) recordVerdict(verdict pairing.Verdict) {
-	if s.answers.metrics == nil {
-		return
+// recordPairing counts how an answer was paired with its command.
+func (s *server) recordPairing(answer *Answer) {
+	if answer.Repeats > 0 {
+		s.countAnswers("answers_repeated", int64(answer.Repeats))
+		s.recordRepetition()
 	}
 
-	switch verdict {
-	case pairing.Repeated:
-		s.answers.metrics.Counter("answers_repeated").Inc(1)
-
-		if !s.answers.repeats.Swap(true) {
-			s.answers.logger.Warn("server repeats answers", "server", s.id)
-		}
-	case pairing.Late:
-		s.answers.metrics.Counter("answers_late").Inc(1)
-	case pairing.Invalid:
-		s.answers.metrics.Counter("answers_invalid").Inc(1)
-	case pairing.Ambiguous:
-		s.answers.metrics.Counter("answers_ambiguous").Inc(1)
-	default:
+	if answer.Late != nil {
+		s.countAnswers("answers_late", 1)
+		s.recordRepetition()
+	}
+
+	if answer.Verdict == pairing.Ambiguous && answer.Outcome != Done {
+		s.countAnswers("refusals_ambiguous", 1)
+	}
+}
+
+// recordUnexpected counts an answer that could not be paired.
+func (s *server) recordUnexpected(err error) {
+	if errors.Is(err, ErrUnexpectedAnswer) {
+		s.countAnswers("answers_unexpected", 1)
+		s.recordRepetition()
+	}
+}
+
+func (s *server) countAnswers(name string, count int64) {
+	if s.answers.metrics != nil {
+		s.answers.metrics.Counter(name).Inc(count)
+	}
+}
+
+// recordRepetition records that the server repeats answers, which it does for the rest of its life.
+func (s *server) recordRepetition() {
+	if !s.answers.repeats.Swap(true) && s.answers.logger != nil {
+		s.answers.logger.Warn("server repeats answers", "server", s.id)
 	}
 }
--- a/internal/managedproxy/conn.go
+++ b/internal/managedproxy/conn.go
@@ -1,9 +1,12 @@
 package managedproxy
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"almondgrade/core/pairing"
 )
 
 // conn is a connection to a backend server, with the session state that the server keeps for it.
@@ -99,6 +102,9 @@
 		c.variables[command.Name] = command.Value
 	case Prepare:
 		c.preparedNames[command.Prepared] = true
+	case Rollback:
+		// A repeated answer may hide that the rollback has failed; the answer to a reset shows the state again.
+		c.setupUncertain = c.setupUncertain || c.server.answers.repeats.Load()
 	default:
 	}
 }
@@ -108,27 +114,140 @@
 // open although a command before the one that opened it has failed. The last command is sent by itself, because it must
 // not run unless all of the session state is in place.
 func (c *conn) run(deadline time.Time, commands ...Command) (Answer, error) {
-	if len(commands) > 1 {
-		answers, err := c.send(deadline, commands[:len(commands)-1]...)
+	setup, last := commands[:len(commands)-1], commands[len(commands)-1]
+
+	if c.server.answers.repeats.Load() {
+		c.server.countAnswers("answers_repeated", int64(c.backend.DropUnexpected()))
+	}
+
+	if len(setup) > 0 {
+		answer, err := c.setUp(deadline, setup)
 		if err != nil {
-			return Answer{}, err
+			return answer, err
 		}
+	}
+
+	inTransaction := c.state != Idle
+
+	answers, err := c.send(deadline, last)
+	if err != nil {
+		return Answer{}, err
+	}
 
-		for _, answer := range answers {
-			if answer.Outcome != Done {
-				return answer, errSetup
-			}
+	if answers[0].Verdict == pairing.Ambiguous && answers[0].Outcome != Done {
+		return c.resolve(deadline, last, answers[0], inTransaction)
+	}
+
+	return answers[0], nil
+}
+
+// setUp sends commands that set up the connection. It returns the first answer that is not Done together with errSetup.
+func (c *conn) setUp(deadline time.Time, setup []Command) (Answer, error) {
+	if c.server.answers.repeats.Load() {
+		setup = confirmed(setup)
+	}
+
+	answers, err := c.send(deadline, setup...)
+	if err != nil {
+		return Answer{}, err
+	}
+
+	for i, answer := range answers {
+		if answer.Outcome == Done {
+			continue
 		}
+
+		if answer.Verdict == pairing.Ambiguous {
+			c.settleRefusedSetup(deadline, setup[i].Kind)
+		}
+
+		return answer, errSetup
+	}
+
+	return Answer{}, nil
+}
+
+// confirmed returns setup commands that have the same effect and whose last success is no repetition. One repeated answer
+// among those to all of them shows, but to the last one it does not until the next command was sent, which must not
+// run if the last one has failed.
+func confirmed(setup []Command) []Command {
+	switch last := setup[len(setup)-1]; last.Kind {
+	case Begin, BeginRead:
+		return slices.Concat(setup, []Command{{Statement: Statement{Kind: Rollback}}, last})
+	case Set, Reset:
+		return slices.Concat(setup, []Command{last})
+	default:
+		// A prepared statement that does not exist is refused when it is used.
+		return setup
+	}
+}
+
+// settleRefusedSetup makes a connection usable after a refused setup command if the refusal may be a repetition, so that the
+// command may have succeeded.
+func (c *conn) settleRefusedSetup(deadline time.Time, kind Kind) {
+	c.setupUncertain = true
+
+	if kind != Begin && kind != BeginRead {
+		return
+	}
+
+	// The answer is a refusal if no transaction is open.
+	answers, err := c.send(earlierTime(deadline, time.Now().Add(rollbackTimeout)), Command{Statement: Statement{Kind: Rollback}})
+	c.broken = c.broken || err != nil || answers[0].State != Idle
+}
+
+// resolve finds out whether a failure of a statement may be a repetition of an earlier one, in which case the answer to the
+// statement is still to come. A command whose success has no signature is sent behind the statement: its answer arrives after
+// that of the statement.
+func (c *conn) resolve(deadline time.Time, statement Command, failure Answer, inTransaction bool) (Answer, error) {
+	follower := Command{Statement: Statement{Kind: Reset}}
+
+	switch {
+	case statement.Kind == Commit:
+		follower.Kind = Rollback
+	case inTransaction:
+		// Closing the connection rolls the transaction back, whatever has become of the statement.
+		c.broken = true
+
+		return failure, errAmbiguous
+	case !statement.Writes:
+		// A read may run again at once. The connection is reset before its next use, which shows the answer that is still to come.
+		c.setupUncertain = true
+
+		return failure, nil
 	}
 
-	answers, err := c.send(deadline, commands[len(commands)-1])
+	answers, err := c.send(deadline, follower)
 	if err != nil {
 		return Answer{}, err
 	}
 
-	return answers[0], nil
+	settled := answers[0]
+	if statement.Kind != Commit && settled.Outcome == failure.Outcome && settled.Detail == failure.Detail {
+		// One of the two is the answer to the statement.
+		c.broken = true
+
+		return failure, nil
+	}
+
+	if settled.State != Idle || settled.Outcome != Done && statement.Kind != Commit {
+		c.broken = true
+
+		return Answer{}, eris.Wrapf(errAmbiguous, "the command behind the statement was answered with %s", settled.Outcome)
+	}
+
+	if settled.Late != nil {
+		return *settled.Late, nil
+	}
+
+	failure.State = Idle
+
+	return failure, nil
 }
 
+// errAmbiguous is returned for a failure that may be a repetition of an earlier one. The connection is closed.
+var errAmbiguous = eris.New("the failure may be a repetition of an earlier one")
+
 // rollbackUnlessIdle rolls back a transaction that is open on the connection, so that other sessions can use it. This
 // costs the server less than opening another connection.
 func (c *conn) rollbackUnlessIdle() {
@@ -156,12 +275,13 @@
 
 	if err != nil {
 		c.broken = true
+		c.server.recordUnexpected(err)
 
 		return nil, err
 	}
 
 	for i, command := range commands {
-		c.server.recordVerdict(answers[i].Verdict)
+		c.server.recordPairing(&answers[i])
 		c.recordEffect(command, answers[i].Outcome)
 	}
 
--- a/internal/managedproxy/gateway_test.go
+++ b/internal/managedproxy/gateway_test.go
@@ -185,6 +185,9 @@
 	return Answer{Signature: "signed", Rows: []string{command.Text}}
 }
 
+// DropUnexpected implements Backend.
+func (c *fakeConn) DropUnexpected() int { return 0 }
+
 // Alive implements Backend.
 func (c *fakeConn) Alive() bool {
 	return !c.closed
--- a/internal/managedproxy/setup_test.go
+++ b/internal/managedproxy/setup_test.go
@@ -167,13 +167,13 @@
 func TestConnectionStateFollowsTheLastAnswer(t *testing.T) {
 	t.Parallel()
 
-	server := &fakeServer{primary: true, position: position.Position{Term: 1, LSN: 1}}
-	backend, err := server.dial()
+	fake := &fakeServer{primary: true, position: position.Position{Term: 1, LSN: 1}}
+	backend, err := fake.dial()
 	require.NoError(t, err)
 
-	created := newConn(backend, nil)
+	created := newConn(backend, &server{})
 	set, begin := Command{Statement: Statement{Kind: Set, Name: "a", Value: "1"}}, Command{Statement: Statement{Kind: Begin}}
-	server.answerWith = func(command Command) (Answer, error, bool) {
+	fake.answerWith = func(command Command) (Answer, error, bool) {
 		return Answer{Outcome: Failed}, nil, command.Kind == Set
 	}
 
@@ -185,7 +185,7 @@
 	created.rollbackUnlessIdle()
 	assert.True(t, created.mayBeReused())
 
-	server.answerWith = func(Command) (Answer, error, bool) { return Answer{}, errors.New("connection reset"), true }
+	fake.answerWith = func(Command) (Answer, error, bool) { return Answer{}, errors.New("connection reset"), true }
 
 	_, err = created.run(soon(), begin)
 	require.Error(t, err)
--- a/internal/managedproxy/statement.go
+++ b/internal/managedproxy/statement.go
@@ -1,6 +1,7 @@
 package managedproxy
 
 import (
+	"errors"
 	"time"
 
 	"almondgrade/core/pairing"
@@ -125,14 +126,28 @@
 	Position position.Position
 	// Status is the answer to a command whose kind reports the status.
 	Status *ServerStatus
-	// Verdict says whether the answer may be a repetition of an earlier one. It is zero if the connection does not tell.
+	// Greeting is true for the answer to a login, which has no outcome.
+	Greeting bool
+	// Verdict is pairing.Ambiguous if the answer may be a repetition of an earlier one on the connection.
 	Verdict pairing.Verdict
+	// Repeats is the number of answers before this one that repeated earlier ones and were passed over.
+	Repeats int
+	// Late is the answer to an earlier command that arrived before this one, if that command's first answer was ambiguous and
+	// in fact a repetition.
+	Late *Answer
 }
 
+// ErrUnexpectedAnswer is the failure of a connection on which an answer arrived that belongs to no command.
+var ErrUnexpectedAnswer = errors.New("the answer belongs to no command")
+
 // Backend is a connection to a backend server. It is used by one goroutine at a time.
 type Backend interface {
-	// Run sends the commands and returns their answers in order. After an error the connection can't be used.
+	// Run sends the commands and returns their answers in order. It passes over answers that repeat earlier ones. After an
+	// error the connection can't be used.
 	Run(deadline time.Time, commands ...Command) ([]Answer, error)
+	// DropUnexpected drops the answers that have arrived although every command was answered, and returns their number. It tells
+	// the connection that the server repeats answers.
+	DropUnexpected() int
 	// Alive reports whether the connection still seems open, as far as this side can tell without waiting.
 	Alive() bool
 	Close()
--- a/internal/managedproxy/statementrun.go
+++ b/internal/managedproxy/statementrun.go
@@ -460,6 +460,12 @@
 			answer.Outcome = Busy
 		}
 
+		return answer, nil
+	case errors.Is(err, errAmbiguous) && begin != nil && r.command.Kind != Commit:
+		// Closing the connection rolls the transaction back.
+		to.server.connPool.put(conn)
+		to.server.recordAnswer(ended)
+
 		return answer, nil
 	case err != nil:
 		to.server.connPool.put(conn)
--- a/internal/managedproxy/transaction.go
+++ b/internal/managedproxy/transaction.go
@@ -224,6 +224,8 @@
 	switch {
 	case errors.Is(err, errSetup):
 		return s.abort(command, &rolledBackError{result.New(result.ServerUnreachable, "session state could not be set up: %s", answer.Detail)})
+	case errors.Is(err, errAmbiguous) && command.Kind != Commit:
+		return s.abort(command, &rolledBackError{result.New(result.ServerUnreachable, "it can't be told whether the statement failed: %s", answer.Detail)})
 	case err != nil:
 		return s.failUnanswered(command, err)
 	case answer.Outcome != Done && answer.Outcome.Ran():
