--- a/core/pairing/tracker.go
+++ b/core/pairing/tracker.go
@@ -93,15 +93,11 @@
 
 	repeats := !t.others.add(t.digest(answer))
 
-	switch {
-	case answer.Kind == Failure && command.Signed && t.unresolved:
-		return Invalid
-	case answer.Kind == Failure && !repeats && !(command.Signed && t.uncertain):
-		return Genuine
-	case answer.Kind == Failure:
-		t.unresolved = t.unresolved || command.Signed
+	if answer.Kind == Failure {
+		return t.judgeFailure(command, repeats)
+	}
 
-		return Ambiguous
+	switch {
 	case answer.Kind == Greeting || command.Signed:
 		// A success without the signature that it must have, or a greeting amid the session.
 		if repeats {
@@ -125,6 +121,20 @@
 	return Genuine
 }
 
+// judgeFailure returns the verdict on a failure, which repeats an earlier answer or not.
+func (t *Tracker[S]) judgeFailure(command Command[S], repeats bool) Verdict {
+	switch {
+	case command.Signed && t.unresolved:
+		return Invalid
+	case repeats || command.Signed && t.uncertain:
+		t.unresolved = t.unresolved || command.Signed
+
+		return Ambiguous
+	default:
+		return Genuine
+	}
+}
+
 // Distrust tells the tracker that the server is known to repeat answers. From then on a failure behind an ambiguous success is
 // ambiguous, too.
 func (t *Tracker[S]) Distrust() {
--- a/core/pairing/tracker_test.go
+++ b/core/pairing/tracker_test.go
@@ -127,8 +127,8 @@
 	tracker *pairing.Tracker[string]
 }
 
-// serve runs a command and appends the answer to the stream, with a repetition of an earlier one before or after it.
-func (c *connection) serve(sent command, genuine answer) {
+// serve appends the answer to a command to the stream, with a repetition of an earlier one before or after it.
+func (c *connection) serve(genuine answer) {
 	if !c.waiting && len(c.answered) > 0 && rapid.IntRange(0, 3).Draw(c.t, "repeats") == 0 {
 		c.waiting = true
 		c.stream = append(c.stream, rapid.SampledFrom(c.answered).Draw(c.t, "repeated"))
@@ -177,7 +177,7 @@
 				sent, genuine = command{State: idle}, unsigned(idle)
 			}
 
-			c.serve(sent, genuine)
+			c.serve(genuine)
 
 			if fmt.Sprint(c.stream[0]) != fmt.Sprint(genuine) {
 				naiveFaults++
@@ -190,7 +190,7 @@
 			if verdict == pairing.Ambiguous && taken.Kind == pairing.Failure {
 				// The client does not know whether the command has succeeded.
 				reset := command{State: idle}
-				c.serve(reset, unsigned(idle))
+				c.serve(unsigned(idle))
 
 				var settled answer
 				if settled, _, late = c.read(reset); settled.Kind == pairing.Failure {
--- a/internal/managedproxy/statementrun.go
+++ b/internal/managedproxy/statementrun.go
@@ -430,22 +430,12 @@
 	}
 
 	conn.lastSessionID = r.session.id
-	commands := conn.setupCommands(r.session.variables, r.prepared)
-
-	last := r.command
-	if begin != nil {
-		opening := *begin
-		opening.After = to.after
-		commands = append(commands, opening)
-	} else if !last.Writes {
-		last.After = to.after
-	}
-
-	answer, err := conn.run(deadline, append(commands, last)...)
+	commands := r.commandsFor(conn, to, begin)
+	answer, err := conn.run(deadline, commands...)
 	ended := time.Now()
 	latency := ended.Sub(began)
 	to.server.recordLatency(latency)
-	to.server.recordEnd(ended, statementKind(&r.pool, &last, len(commands) > 0), answer, err, latency)
+	to.server.recordEnd(ended, statementKind(&r.pool, &commands[len(commands)-1], len(commands) > 1), answer, err, latency)
 	r.session.gateway.recordLatency(to.primary, r.command.Writes, latency)
 
 	switch {
@@ -498,6 +488,22 @@
 	return answer, nil
 }
 
+// commandsFor returns the command behind those that set up the connection and open the transaction.
+func (r *statementRun) commandsFor(conn *conn, to target, begin *Command) []Command {
+	commands := conn.setupCommands(r.session.variables, r.prepared)
+
+	last := r.command
+	if begin != nil {
+		opening := *begin
+		opening.After = to.after
+		commands = append(commands, opening)
+	} else if !last.Writes {
+		last.After = to.after
+	}
+
+	return append(commands, last)
+}
+
 // errInTransaction is the failure of a single statement that a server ran inside a transaction.
 var errInTransaction = eris.New("the server ran the statement inside a transaction")
 
