platform, core/pairing: show refusals behind repeated answers that break promises

TestRecentRefusalIsRecognised: a refusal that came again two answers before its repetition is forgotten, because the ring counts from the first time.

--- a/core/pairing/tracker_test.go
+++ b/core/pairing/tracker_test.go
@@ -115,6 +115,29 @@
 	assert.Equal(t, pairing.Repeated, tracker.Judge(began.Add(30*time.Second), command{Signed: true}, signed("0")))
 }
 
+// Guards against a refusal that is taken for a genuine one because the answers in between differ from each other.
+func TestRecentRefusalIsRecognised(t *testing.T) {
+	t.Parallel()
+
+	tracker, read := pairing.NewTracker(answer{State: idle}), command{Signed: true}
+	set := command{State: idle}
+	tracker.Judge(began, set, unsigned(idle))
+	tracker.Judge(began, read, refused("BUSY"))
+
+	for i := range 61 {
+		require.Equal(t, pairing.Genuine, tracker.Judge(began, read, refused("LAGGING 3."+strconv.Itoa(i))))
+	}
+
+	require.Equal(t, pairing.Ambiguous, tracker.Judge(began, read, refused("BUSY")))
+	require.Equal(t, pairing.Ambiguous, tracker.Judge(began, set, unsigned(idle)))
+
+	for i := range 3 {
+		require.Equal(t, pairing.Genuine, tracker.Judge(began, read, refused("LAGGING 4."+strconv.Itoa(i))))
+	}
+
+	assert.Equal(t, pairing.Ambiguous, tracker.Judge(began, read, refused("BUSY")), "the last refusal but three")
+}
+
 // connection is a server that may repeat one answer at a time, and the client of a connection to it.
 type connection struct {
 	t *rapid.T
