managedproxy: settle doubtful answers by a check that is always possible

Cause: the success of the last setup command was not confirmed unless the server was known to repeat answers, and the commands that confirmed it or followed a doubtful refusal (RESET, ROLLBACK, BEGIN again) change the session, are refused in some states, or don't show what became of the last one.

Change: a check, a prepared statement that nobody uses, is prepared and deallocated by turns. It is possible in a transaction and outside of one and changes nothing that sessions use. One follows each group of setup commands, whose state must then be the expected one, and two follow a doubtful refusal. The connection drops what has arrived before each statement, at any server. A refused setup leads to a reset, or to the end of the connection if it is doubtful. Only the last check ends the doubt about a statement. Refusals are compared with their position until the server is known to repeat answers, as those that repeat no position can't be repetitions; a refusal whose state is impossible outside of a transaction is passed over. The set of refusals keeps the latest ones.

TestAnswersInTheWrongState has the wrong state from the statement on: one whose BEGIN shows no open transaction isn't sent any more, which it checks as well.

--- a/core/pairing/doc.go
+++ b/core/pairing/doc.go
@@ -27,7 +27,7 @@
 //
 // # Usage
 //
-//	tracker := pairing.NewTracker(pairing.Answer[string]{State: "I"})
+//	tracker := pairing.NewTracker(pairing.Answer[string, int]{State: "I"})
 //	switch tracker.Judge(time.Now(), pairing.Command[string]{Signed: true}, answer) {
 //	case pairing.Repeated:
 //		// Read the next answer.
--- a/core/pairing/recent.go
+++ b/core/pairing/recent.go
@@ -41,30 +41,27 @@
 	return true
 }
 
-// ring is a set of the hashes that were added last.
+// ring is a set of the hashes that were added last, the latest one at the end.
 type ring struct {
 	hashes []uint64
-	next   int
 }
 
 func (r *ring) has(hash uint64) bool {
 	return slices.Contains(r.hashes, hash)
 }
 
-// add adds a hash and returns true, unless the ring has it. A full ring drops the oldest one.
+// add makes a hash the latest one, and returns whether the ring did not have it. A full ring drops the oldest one.
 func (r *ring) add(hash uint64) bool {
-	if r.has(hash) {
-		return false
-	}
+	at := slices.Index(r.hashes, hash)
 
-	if len(r.hashes) < rememberedOthers {
-		r.hashes = append(r.hashes, hash)
-
-		return true
+	switch {
+	case at >= 0:
+		r.hashes = slices.Delete(r.hashes, at, at+1)
+	case len(r.hashes) == rememberedOthers:
+		r.hashes = slices.Delete(r.hashes, 0, 1)
 	}
 
-	r.hashes[r.next] = hash
-	r.next = (r.next + 1) % rememberedOthers
+	r.hashes = append(r.hashes, hash)
 
-	return true
+	return at < 0
 }
--- a/core/pairing/tracker.go
+++ b/core/pairing/tracker.go
@@ -28,10 +28,13 @@
 type Command[S comparable] struct {
 	// Signed is true if success has a signature.
 	Signed bool
-	// State is the state after success of a command that is not signed.
-	State S
+	// StateBefore is the state before the command, and State that after its success if it is not signed.
+	StateBefore S
+	State       S
 	// AnyState is true if the command does not determine the state.
 	AnyState bool
+	// Resolves is true if the client takes the answer to this command for a sign that all answers before it have arrived.
+	Resolves bool
 }
 
 // Kind is the kind of an answer.
@@ -45,7 +48,7 @@
 )
 
 // Answer is a whole answer of a server.
-type Answer[S comparable] struct {
+type Answer[S, P comparable] struct {
 	Kind Kind
 	// Signature is empty if the answer has none.
 	Signature string
@@ -54,6 +57,9 @@
 	// Detail is the code and the reason of a failure.
 	Detail string
 	State  S
+	// Position is the position of the server's log. A repetition has that of the first answer, and a server that is known to
+	// repeat answers is not relied upon for that.
+	Position P
 }
 
 // rememberedOthers bounds the answers without a signature that are remembered. A connection rarely gets more than ten different
@@ -61,14 +67,19 @@
 const rememberedOthers = 64
 
 // Tracker judges the answers on one connection.
-type Tracker[S comparable] struct {
-	seed       maphash.Seed
+type Tracker[S, P comparable] struct {
+	seed maphash.Seed
+	// idle is the state after the login.
+	idle       S
 	signatures recentSet
-	others     ring
+	// others are the answers without a signature, and failures those of them that are failures, with their positions.
+	others   ring
+	failures ring
 	// unresolved is true if a command with a signature has an ambiguous failure and may still be answered.
 	unresolved bool
-	// signsOthers is true if the server signs answers to commands that are not signed. Such signatures need not be unique.
-	signsOthers bool
+	// signsOthers is true if the server signs answers to commands that are not signed, and signsNone if it does not. The first
+	// such answer shows it. Such signatures need not be unique.
+	signsOthers, signsNone bool
 	// distrusts is true if the server is known to repeat answers. uncertain is then true if an answer without a signature was
 	// taken that may be a repetition, so that the answer to its command may still arrive.
 	distrusts bool
@@ -76,25 +87,32 @@
 }
 
 // NewTracker returns a tracker for a connection whose login was answered with a greeting.
-func NewTracker[S comparable](greeting Answer[S]) *Tracker[S] {
-	created := &Tracker[S]{seed: maphash.MakeSeed()}
-	created.others.add(created.digest(greeting))
+func NewTracker[S, P comparable](greeting Answer[S, P]) *Tracker[S, P] {
+	created := &Tracker[S, P]{seed: maphash.MakeSeed(), idle: greeting.State}
+	created.others.add(created.digest(greeting, false))
 
 	return created
 }
 
 // Judge returns what an answer is that arrives after a command was sent and all commands before it were answered.
-func (t *Tracker[S]) Judge(now time.Time, command Command[S], answer Answer[S]) Verdict {
+func (t *Tracker[S, P]) Judge(now time.Time, command Command[S], answer Answer[S, P]) Verdict {
 	if answer.Signature != "" {
 		if verdict := t.judgeSigned(now, command, answer); verdict != 0 {
 			return verdict
 		}
 	}
 
-	repeats := !t.others.add(t.digest(answer))
+	repeats := !t.others.add(t.digest(answer, false))
 
 	if answer.Kind == Failure {
-		return t.judgeFailure(command, repeats)
+		repeatsPosition := !t.failures.add(t.digest(answer, true))
+
+		if repeats && answer.State != command.StateBefore && command.StateBefore == t.idle {
+			// No failure opens a transaction.
+			return Repeated
+		}
+
+		return t.judgeFailure(command, repeatsPosition || repeats && t.distrusts)
 	}
 
 	switch {
@@ -109,8 +127,8 @@
 		return Repeated
 	}
 
-	// The server runs commands in order, so the answers to all commands before this one have arrived.
-	t.unresolved = false
+	t.signsNone = !t.signsOthers
+	t.unresolved = t.unresolved && !command.Resolves
 
 	if repeats {
 		t.uncertain = t.distrusts
@@ -122,7 +140,7 @@
 }
 
 // judgeFailure returns the verdict on a failure, which repeats an earlier answer or not.
-func (t *Tracker[S]) judgeFailure(command Command[S], repeats bool) Verdict {
+func (t *Tracker[S, P]) judgeFailure(command Command[S], repeats bool) Verdict {
 	switch {
 	case command.Signed && t.unresolved:
 		return Invalid
@@ -137,14 +155,18 @@
 
 // Distrust tells the tracker that the server is known to repeat answers. From then on a failure behind an ambiguous success is
 // ambiguous, too.
-func (t *Tracker[S]) Distrust() {
+func (t *Tracker[S, P]) Distrust() {
 	t.distrusts = true
 }
 
 // Drop records an answer that has arrived after all commands were answered.
-func (t *Tracker[S]) Drop(now time.Time, answer Answer[S]) {
+func (t *Tracker[S, P]) Drop(now time.Time, answer Answer[S, P]) {
 	if answer.Signature == "" || t.signsOthers {
-		t.others.add(t.digest(answer))
+		t.others.add(t.digest(answer, false))
+
+		if answer.Kind == Failure {
+			t.failures.add(t.digest(answer, true))
+		}
 
 		return
 	}
@@ -155,13 +177,13 @@
 }
 
 // judgeSigned returns the verdict on an answer with a signature, or zero if the signature does not decide.
-func (t *Tracker[S]) judgeSigned(now time.Time, command Command[S], answer Answer[S]) Verdict {
+func (t *Tracker[S, P]) judgeSigned(now time.Time, command Command[S], answer Answer[S, P]) Verdict {
 	hash := maphash.String(t.seed, answer.Signature)
 
 	switch {
 	case t.signatures.has(hash):
 		return Repeated
-	case command.Signed && t.signsOthers && t.others.has(t.digest(answer)):
+	case command.Signed && t.signsOthers && t.others.has(t.digest(answer, false)):
 		return Repeated
 	case command.Signed && t.unresolved:
 		return Invalid
@@ -170,6 +192,8 @@
 		t.uncertain = false
 
 		return Genuine
+	case t.unresolved && t.signsOthers, !t.unresolved && t.signsNone:
+		return Invalid
 	case t.unresolved:
 		t.signatures.add(now, hash)
 		t.unresolved = false
@@ -184,7 +208,7 @@
 
 // digest returns a hash of an answer without a signature. The seed differs from connection to connection, so that no
 // server can prepare a collision.
-func (t *Tracker[S]) digest(answer Answer[S]) uint64 {
+func (t *Tracker[S, P]) digest(answer Answer[S, P], withPosition bool) uint64 {
 	var hash maphash.Hash
 
 	hash.SetSeed(t.seed)
@@ -193,6 +217,10 @@
 	maphash.WriteComparable(&hash, answer.Detail)
 	maphash.WriteComparable(&hash, answer.Signature)
 
+	if withPosition {
+		maphash.WriteComparable(&hash, answer.Position)
+	}
+
 	for _, row := range answer.Rows {
 		maphash.WriteComparable(&hash, row)
 	}
--- a/core/pairing/tracker_test.go
+++ b/core/pairing/tracker_test.go
@@ -23,7 +23,7 @@
 
 type (
 	command = pairing.Command[string]
-	answer  = pairing.Answer[string]
+	answer  = pairing.Answer[string, int]
 )
 
 func signed(signature string) answer {
@@ -42,7 +42,8 @@
 func TestJudge(t *testing.T) {
 	t.Parallel()
 
-	read, set, begin := command{Signed: true}, command{State: idle}, command{State: open}
+	read, set, begin := command{Signed: true, StateBefore: idle}, command{StateBefore: idle, State: idle}, command{StateBefore: idle, State: open}
+	check := command{StateBefore: idle, AnyState: true, Resolves: true}
 
 	type step struct {
 		command command
@@ -62,12 +63,29 @@
 		{"first refusal", []step{{read, refused("BUSY"), pairing.Genuine}, {read, signed("1"), pairing.Genuine}}},
 		{"refusal that repeats another one", []step{
 			{read, refused("BUSY"), pairing.Genuine}, {read, refused("BUSY"), pairing.Ambiguous}, {set, signed("1"), pairing.Late},
-			{set, unsigned(idle), pairing.Genuine}, {read, signed("2"), pairing.Genuine},
+			{check, unsigned(idle), pairing.Genuine}, {read, signed("2"), pairing.Genuine},
 		}},
 		{"second refusal", []step{
-			{read, refused("BUSY"), pairing.Genuine}, {read, refused("BUSY"), pairing.Ambiguous}, {set, unsigned(idle), pairing.Genuine},
+			{read, refused("BUSY"), pairing.Genuine}, {read, refused("BUSY"), pairing.Ambiguous}, {check, unsigned(idle), pairing.Genuine},
 			{read, signed("2"), pairing.Genuine},
 		}},
+		{"answer behind two repetitions", []step{
+			{set, unsigned(idle), pairing.Genuine}, {read, refused("BUSY"), pairing.Genuine}, {read, refused("BUSY"), pairing.Ambiguous},
+			{set, unsigned(idle), pairing.Ambiguous}, {check, signed("1"), pairing.Late}, {check, unsigned(idle), pairing.Ambiguous},
+			{read, signed("2"), pairing.Genuine},
+		}},
+		{"new signature of a server that does not sign other commands", []step{
+			{set, unsigned(idle), pairing.Genuine}, {set, signed("1"), pairing.Invalid},
+		}},
+		{"refusal in another state outside of a transaction", []step{
+			{begin, unsigned(open), pairing.Genuine},
+			{command{Signed: true, StateBefore: open}, answer{Kind: pairing.Failure, Detail: "BUSY", State: open}, pairing.Genuine},
+			{read, answer{Kind: pairing.Failure, Detail: "BUSY", State: open}, pairing.Repeated}, {read, signed("1"), pairing.Genuine},
+		}},
+		{"refusal at another position", []step{
+			{read, refused("BUSY"), pairing.Genuine}, {read, answer{Kind: pairing.Failure, Detail: "BUSY", State: idle, Position: 1}, pairing.Genuine},
+			{read, refused("BUSY"), pairing.Ambiguous},
+		}},
 		{"refusal of another kind", []step{{read, refused("BUSY"), pairing.Genuine}, {read, refused("LAGGING"), pairing.Genuine}}},
 		{"statement behind an unresolved refusal", []step{
 			{read, refused("BUSY"), pairing.Genuine}, {read, refused("BUSY"), pairing.Ambiguous}, {read, signed("1"), pairing.Invalid},
@@ -101,6 +119,28 @@
 	}
 }
 
+// Guards against a refusal that is relied upon because its position is new, at a server that may give repetitions another one,
+// and against a first refusal that hides behind a repeated success.
+func TestDistrust(t *testing.T) {
+	t.Parallel()
+
+	later := answer{Kind: pairing.Failure, Detail: "BUSY", State: idle, Position: 1}
+	read, set := command{Signed: true, StateBefore: idle}, command{StateBefore: idle, State: idle, Resolves: true}
+
+	tracker := pairing.NewTracker(answer{State: idle})
+	tracker.Distrust()
+	require.Equal(t, pairing.Genuine, tracker.Judge(began, read, refused("BUSY")))
+	require.Equal(t, pairing.Ambiguous, tracker.Judge(began, read, later))
+	require.Equal(t, pairing.Genuine, tracker.Judge(began, set, unsigned(idle)))
+	require.Equal(t, pairing.Ambiguous, tracker.Judge(began, set, unsigned(idle)))
+	require.Equal(t, pairing.Ambiguous, tracker.Judge(began, read, refused("FAILED")))
+
+	// An answer that was dropped is remembered.
+	tracker.Drop(began, signed("1"))
+	require.Equal(t, pairing.Repeated, tracker.Judge(began, read, signed("1")))
+	require.Equal(t, pairing.Genuine, tracker.Judge(began, read, signed("2")))
+}
+
 // Guards against a repetition that is recognised only while few answers lie between.
 func TestOldSignatureIsRecognised(t *testing.T) {
 	t.Parallel()
@@ -109,18 +149,18 @@
 
 	tracker := pairing.NewTracker(answer{State: idle})
 	for i := range statements {
-		require.Equal(t, pairing.Genuine, tracker.Judge(began, command{Signed: true}, signed(strconv.Itoa(i))))
+		require.Equal(t, pairing.Genuine, tracker.Judge(began, command{Signed: true, StateBefore: idle}, signed(strconv.Itoa(i))))
 	}
 
-	assert.Equal(t, pairing.Repeated, tracker.Judge(began.Add(30*time.Second), command{Signed: true}, signed("0")))
+	assert.Equal(t, pairing.Repeated, tracker.Judge(began.Add(30*time.Second), command{Signed: true, StateBefore: idle}, signed("0")))
 }
 
 // Guards against a refusal that is taken for a genuine one because the answers in between differ from each other.
 func TestRecentRefusalIsRecognised(t *testing.T) {
 	t.Parallel()
 
-	tracker, read := pairing.NewTracker(answer{State: idle}), command{Signed: true}
-	set := command{State: idle}
+	tracker, read := pairing.NewTracker(answer{State: idle}), command{Signed: true, StateBefore: idle}
+	set := command{StateBefore: idle, State: idle, Resolves: true}
 	tracker.Judge(began, set, unsigned(idle))
 	tracker.Judge(began, read, refused("BUSY"))
 
@@ -147,7 +187,7 @@
 	// waiting is true while a repetition is on its way. Two at the same moment can't be told apart in all cases.
 	waiting bool
 	sent    int
-	tracker *pairing.Tracker[string]
+	tracker *pairing.Tracker[string, int]
 }
 
 // serve appends the answer to a command to the stream, with a repetition of an earlier one before or after it.
@@ -191,13 +231,13 @@
 		c := &connection{t: t, tracker: pairing.NewTracker(answer{State: idle})}
 
 		for i := range rapid.IntRange(1, 30).Draw(t, "statements") {
-			sent, genuine := command{Signed: true}, signed(strconv.Itoa(i))
+			sent, genuine := command{Signed: true, StateBefore: idle}, signed(strconv.Itoa(i))
 
 			switch rapid.IntRange(0, 3).Draw(t, "outcome") {
 			case 0:
 				genuine = refused("BUSY")
 			case 1:
-				sent, genuine = command{State: idle}, unsigned(idle)
+				sent, genuine = command{StateBefore: idle, State: idle}, unsigned(idle)
 			}
 
 			c.serve(genuine)
@@ -212,7 +252,7 @@
 
 			if verdict == pairing.Ambiguous && taken.Kind == pairing.Failure {
 				// The client does not know whether the command has succeeded.
-				reset := command{State: idle}
+				reset := command{StateBefore: idle, State: idle, Resolves: true}
 				c.serve(unsigned(idle))
 
 				var settled answer
--- a/internal/managedcontroller/commitstop_test.go
+++ b/internal/managedcontroller/commitstop_test.go
@@ -219,7 +219,7 @@
 }
 
 // DropUnexpected implements managedproxy.Backend.
-func (a answeringConn) DropUnexpected() int { return 0 }
+func (a answeringConn) DropUnexpected(bool) int { return 0 }
 
 // Alive implements managedproxy.Backend.
 func (a answeringConn) Alive() bool { return true }
--- a/internal/managedcontroller/controller_test.go
+++ b/internal/managedcontroller/controller_test.go
@@ -184,7 +184,7 @@
 }
 
 // DropUnexpected implements managedproxy.Backend.
-func (p *probeConn) DropUnexpected() int { return 0 }
+func (p *probeConn) DropUnexpected(bool) int { return 0 }
 
 // Alive implements managedproxy.Backend.
 func (p *probeConn) Alive() bool { return true }
--- a/internal/manageddaemon/skippedphase_test.go
+++ b/internal/manageddaemon/skippedphase_test.go
@@ -32,7 +32,7 @@
 }
 
 // DropUnexpected implements managedproxy.Backend.
-func (b *silentBackend) DropUnexpected() int { return 0 }
+func (b *silentBackend) DropUnexpected(bool) int { return 0 }
 
 // Alive implements managedproxy.Backend.
 func (b *silentBackend) Alive() bool { return true }
--- a/internal/managedproxy/ambiguous_test.go
+++ b/internal/managedproxy/ambiguous_test.go
@@ -36,7 +36,7 @@
 }
 
 // DropUnexpected implements Backend.
-func (b *scriptedBackend) DropUnexpected() int { return 0 }
+func (b *scriptedBackend) DropUnexpected(bool) int { return 0 }
 
 // Alive implements Backend.
 func (b *scriptedBackend) Alive() bool { return true }
@@ -55,6 +55,10 @@
 	write, read, commit := Command{Statement: Statement{Kind: Write}}, Command{Statement: Statement{Kind: Read}}, Command{Statement: Statement{Kind: Commit}}
 	write.Writes = true
 
+	begin, set := Command{Statement: Statement{Kind: Begin}}, Command{Statement: Statement{Kind: Set}}
+	opened, signedOpen := Answer{State: Open}, Answer{Signature: "signed", State: Open}
+	failed, malformed := Answer{Outcome: Failed}, Answer{Outcome: OtherFailure}
+
 	for _, test := range []struct {
 		name     string
 		state    State
@@ -68,52 +72,62 @@
 		reset    bool
 	}{
 		{"certain refusal", Idle, false, []Command{write}, []Answer{{Outcome: Busy}}, []Kind{Write}, Answer{Outcome: Busy}, nil, true, false},
-		{"write that was refused", Idle, false, []Command{write}, []Answer{busy, {}}, []Kind{Write, Reset}, busy, nil, true, false},
-		{"write that ran", Idle, false, []Command{write}, []Answer{busy, {Late: &signed}}, []Kind{Write, Reset}, signed, nil, true, false},
-		{"write and reset that were refused alike", Idle, false, []Command{write}, []Answer{busy, busy}, []Kind{Write, Reset}, busy, nil, false, false},
-		{"write behind which nothing is answered", Idle, false, []Command{write}, []Answer{busy}, []Kind{Write, Reset}, Answer{}, errScriptEnded, false, false},
+		{"write that was refused", Idle, false, []Command{write}, []Answer{busy, {}, {}}, []Kind{Write, Check, Check}, busy, nil, true, false},
+		{"write that ran", Idle, false, []Command{write}, []Answer{busy, {Late: &signed}, {}}, []Kind{Write, Check, Check}, signed, nil, true, false},
 		{
-			"write whose reset fails", Idle, false, []Command{write}, []Answer{busy, {Outcome: Failed}}, []Kind{Write, Reset},
-			Answer{}, errAmbiguous, false, true,
+			"write that ran before a refused check", Idle, false, []Command{write}, []Answer{busy, {Outcome: Busy, Late: &signed}, {}}, []Kind{Write, Check, Check},
+			signed, nil, false, false,
 		},
-		{"read", Idle, false, []Command{read}, []Answer{busy}, []Kind{Read}, busy, nil, true, true},
-		{"statement of a transaction", Open, false, []Command{write}, []Answer{busyOpen}, []Kind{Write}, busyOpen, errAmbiguous, false, false},
+		{"write and check that were refused alike", Idle, false, []Command{write}, []Answer{busy, busy, {}}, []Kind{Write, Check, Check}, busy, errAmbiguous, false, false},
+		{"write behind which nothing is answered", Idle, false, []Command{write}, []Answer{busy}, []Kind{Write, Check}, Answer{}, errScriptEnded, false, false},
 		{
-			"statement of a transaction, refused as if outside of it", Open, false, []Command{read}, []Answer{busy}, []Kind{Read},
-			busy, errAmbiguous, false, false,
+			"write that ran, whose answer arrives behind a repeated one to a check", Idle, false, []Command{write}, []Answer{busy, {}, {Late: &signed}},
+			[]Kind{Write, Check, Check}, signed, nil, true, false,
 		},
-		{"commit that was refused", Open, false, []Command{commit}, []Answer{busyOpen, {}}, []Kind{Commit, Rollback}, busy, nil, true, false},
+		{"write whose check fails", Idle, false, []Command{write}, []Answer{busy, failed, {}}, []Kind{Write, Check, Check}, busy, errAmbiguous, false, false},
+		{"read", Idle, false, []Command{read}, []Answer{busy}, []Kind{Read}, busy, nil, true, false},
 		{
-			"commit that was refused, outside of a transaction then", Open, false, []Command{commit}, []Answer{busyOpen, {Outcome: OtherFailure}},
-			[]Kind{Commit, Rollback}, busy, nil, true, false,
+			"statement of a transaction that was refused", Open, false, []Command{write}, []Answer{busyOpen, opened, opened}, []Kind{Write, Check, Check},
+			busyOpen, nil, false, false,
 		},
 		{
-			"commit that ran", Open, false, []Command{commit}, []Answer{busyOpen, {Outcome: OtherFailure, Late: &signed}},
-			[]Kind{Commit, Rollback}, signed, nil, true, false,
+			"statement of a transaction that ran", Open, false, []Command{write}, []Answer{busyOpen, {State: Open, Late: &signedOpen}, opened},
+			[]Kind{Write, Check, Check}, signedOpen, nil, false, false,
+		},
+		{
+			"statement of a transaction, refused as if outside of it", Open, false, []Command{read}, []Answer{busy, opened, opened}, []Kind{Read, Check, Check},
+			busy, errAmbiguous, false, false,
 		},
+		{"commit that was refused", Open, false, []Command{commit}, []Answer{busyOpen, opened, opened}, []Kind{Commit, Check, Check}, busyOpen, nil, false, false},
+		{"commit that ran", Open, false, []Command{commit}, []Answer{busyOpen, {Late: &signed}, {}}, []Kind{Commit, Check, Check}, signed, nil, true, false},
 		{
-			"refused begin", Idle, false, []Command{{Statement: Statement{Kind: Begin}}, read}, []Answer{busy, {Outcome: OtherFailure}},
-			[]Kind{Begin, Rollback}, busy, errSetup, true, true,
+			"commit that ran and failed", Open, false, []Command{commit}, []Answer{busyOpen, failed, {}}, []Kind{Commit, Check, Check},
+			busyOpen, errAmbiguous, false, false,
 		},
 		{
-			"begin that ran", Idle, false, []Command{{Statement: Statement{Kind: Begin}}, read}, []Answer{busy, {State: Open}},
-			[]Kind{Begin, Rollback}, busy, errSetup, false, true,
+			"commit whose transaction is gone", Open, false, []Command{commit}, []Answer{busyOpen, {}, {}}, []Kind{Commit, Check, Check},
+			busyOpen, errAmbiguous, false, false,
 		},
+		{"refused begin", Idle, false, []Command{begin, read}, []Answer{{Outcome: Busy}, {}}, []Kind{Begin, Check}, Answer{Outcome: Busy}, errSetup, true, true},
+		{"begin that may have run", Idle, false, []Command{begin, read}, []Answer{busy, opened}, []Kind{Begin, Check}, busy, errSetup, false, true},
 		{
-			"refused value", Idle, false, []Command{{Statement: Statement{Kind: Set}}, read}, []Answer{busy}, []Kind{Set}, busy, errSetup, true, true,
+			"begin that was refused behind a repetition", Idle, false, []Command{begin, read}, []Answer{opened, {Outcome: NotPrimary}},
+			[]Kind{Begin, Check}, Answer{Outcome: NotPrimary}, errSetup, true, true,
 		},
 		{
-			"begin at a server that repeats answers", Idle, true, []Command{{Statement: Statement{Kind: Begin}}, read},
-			[]Answer{{State: Open}, {}, {State: Open}, {Signature: "signed", State: Open}}, []Kind{Begin, Rollback, Begin, Read},
-			Answer{Signature: "signed", State: Open}, nil, false, true,
+			"begin that left no transaction open", Idle, false, []Command{begin, read}, []Answer{opened, {}}, []Kind{Begin, Check},
+			Answer{Outcome: OtherFailure, Detail: "the session is in another state than its setup leads to"}, errSetup, false, false,
 		},
 		{
-			"begin that failed behind a repeated answer", Idle, true, []Command{{Statement: Statement{Kind: Begin}}, read},
-			[]Answer{{State: Open}, {Outcome: NotPrimary}, {}}, []Kind{Begin, Rollback, Begin}, Answer{Outcome: NotPrimary}, errSetup, true, false,
+			"value that opened a transaction", Idle, false, []Command{set, read}, []Answer{{}, opened}, []Kind{Set, Check},
+			Answer{Outcome: OtherFailure, Detail: "the session is in another state than its setup leads to"}, errSetup, false, false,
 		},
+		{"refused value", Idle, false, []Command{set, read}, []Answer{failed, {}}, []Kind{Set, Check}, failed, errSetup, true, true},
+		{"value that was refused behind a repetition", Idle, false, []Command{set, read}, []Answer{{}, failed}, []Kind{Set, Check}, failed, errSetup, true, true},
+		{"refused value at a server that repeats answers", Idle, true, []Command{set, read}, []Answer{failed, {}}, []Kind{Set, Check}, failed, errSetup, false, true},
+		{"refused check", Idle, false, []Command{set, read}, []Answer{{}, malformed}, []Kind{Set, Check}, malformed, errSetup, true, true},
 		{
-			"value at a server that repeats answers", Idle, true, []Command{{Statement: Statement{Kind: Set}}, read},
-			[]Answer{{}, {Outcome: Failed}}, []Kind{Set, Set}, Answer{Outcome: Failed}, errSetup, true, true,
+			"transaction", Idle, false, []Command{begin, read}, []Answer{opened, opened, signedOpen}, []Kind{Begin, Check, Read}, signedOpen, nil, false, false,
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/managedproxy/conn.go
+++ b/internal/managedproxy/conn.go
@@ -28,6 +28,11 @@
 	// setupUncertain is true if variables and preparedNames may differ from what the server keeps, because a setup
 	// command ran and failed.
 	setupUncertain bool
+	// unresolved is true if the answer to a read may still arrive, because its failure may be a repetition.
+	unresolved bool
+	// stateBefore is the state before the last command was sent, and checkPrepared whether the last check must be undone.
+	stateBefore   State
+	checkPrepared bool
 }
 
 func newConn(backend Backend, backendServer *server) *conn {
@@ -97,11 +102,13 @@
 		clear(c.variables)
 		clear(c.preparedNames)
 
-		c.setupUncertain = false
+		c.setupUncertain, c.checkPrepared = false, false
 	case Set:
 		c.variables[command.Name] = command.Value
 	case Prepare:
 		c.preparedNames[command.Prepared] = true
+	case Check:
+		c.checkPrepared = !command.Undo
 	case Rollback:
 		// A repeated answer may hide that the rollback has failed; the answer to a reset shows the state again.
 		c.setupUncertain = c.setupUncertain || c.server.answers.repeats.Load()
@@ -116,136 +123,123 @@
 func (c *conn) run(deadline time.Time, commands ...Command) (Answer, error) {
 	setup, last := commands[:len(commands)-1], commands[len(commands)-1]
 
-	if c.server.answers.repeats.Load() {
-		c.server.countAnswers("answers_repeated", int64(c.backend.DropUnexpected()))
-	}
+	c.dropUnexpected()
 
-	if len(setup) > 0 {
+	if len(setup) > 0 || c.unresolved {
 		answer, err := c.setUp(deadline, setup)
 		if err != nil {
 			return answer, err
 		}
 	}
 
-	inTransaction := c.state != Idle
-
 	answers, err := c.send(deadline, last)
 	if err != nil {
 		return Answer{}, err
 	}
 
 	if answers[0].Verdict == pairing.Ambiguous && answers[0].Outcome != Done {
-		return c.resolve(deadline, last, answers[0], inTransaction)
+		return c.resolve(deadline, last, answers[0])
 	}
 
 	return answers[0], nil
 }
 
+// dropUnexpected drops what has arrived although every command was answered.
+func (c *conn) dropUnexpected() {
+	if dropped := c.backend.DropUnexpected(c.server.answers.repeats.Load()); dropped > 0 {
+		c.server.countAnswers("answers_repeated", int64(dropped))
+		c.server.recordRepetition()
+	}
+}
+
 // setUp sends commands that set up the connection. It returns the first answer that is not Done together with errSetup.
+//
+// A check follows the commands: if one of the answers is a repetition, the success of the last command shows in the answer
+// to the check, and a refusal does as well.
 func (c *conn) setUp(deadline time.Time, setup []Command) (Answer, error) {
-	if c.server.answers.repeats.Load() {
-		setup = confirmed(setup)
+	state := c.state
+	if len(setup) > 0 && slices.Contains([]Kind{Begin, BeginRead}, setup[len(setup)-1].Kind) {
+		state = Open
 	}
 
-	answers, err := c.send(deadline, setup...)
+	answers, err := c.send(deadline, append(slices.Clone(setup), c.check())...)
 	if err != nil {
 		return Answer{}, err
 	}
 
-	for i, answer := range answers {
+	for _, answer := range answers {
 		if answer.Outcome == Done {
 			continue
 		}
 
-		if answer.Verdict == pairing.Ambiguous {
-			c.settleRefusedSetup(deadline, setup[i].Kind)
-		}
+		// The refusal may belong to a command before the one that it was taken for.
+		c.setupUncertain = true
+		c.broken = c.broken || answer.Verdict == pairing.Ambiguous || c.server.answers.repeats.Load()
 
 		return answer, errSetup
 	}
 
-	return Answer{}, nil
-}
+	if c.state != state {
+		c.broken = true
 
-// confirmed returns setup commands that have the same effect and whose last success is no repetition. One repeated answer
-// among those to all of them shows, but to the last one it does not until the next command was sent, which must not
-// run if the last one has failed.
-func confirmed(setup []Command) []Command {
-	switch last := setup[len(setup)-1]; last.Kind {
-	case Begin, BeginRead:
-		return slices.Concat(setup, []Command{{Statement: Statement{Kind: Rollback}}, last})
-	case Set, Reset:
-		return slices.Concat(setup, []Command{last})
-	default:
-		// A prepared statement that does not exist is refused when it is used.
-		return setup
+		return Answer{Outcome: OtherFailure, Detail: "the session is in another state than its setup leads to"}, errSetup
 	}
-}
 
-// settleRefusedSetup makes a connection usable after a refused setup command if the refusal may be a repetition, so that the
-// command may have succeeded.
-func (c *conn) settleRefusedSetup(deadline time.Time, kind Kind) {
-	c.setupUncertain = true
+	c.unresolved = false
 
-	if kind != Begin && kind != BeginRead {
-		return
-	}
+	return Answer{}, nil
+}
 
-	// The answer is a refusal if no transaction is open.
-	answers, err := c.send(earlierTime(deadline, time.Now().Add(rollbackTimeout)), Command{Statement: Statement{Kind: Rollback}})
-	c.broken = c.broken || err != nil || answers[0].State != Idle
+// check returns a command that changes nothing that sessions use, is possible in a transaction and outside, and whose success
+// has no signature.
+func (c *conn) check() Command {
+	return Command{Statement: Statement{Kind: Check}, Undo: c.checkPrepared, Resolves: true}
 }
 
 // resolve finds out whether a failure of a statement may be a repetition of an earlier one, in which case the answer to the
-// statement is still to come. A command whose success has no signature is sent behind the statement: its answer arrives after
-// that of the statement.
-func (c *conn) resolve(deadline time.Time, statement Command, failure Answer, inTransaction bool) (Answer, error) {
-	follower := Command{Statement: Statement{Kind: Reset}}
-
-	switch {
-	case statement.Kind == Commit:
-		follower.Kind = Rollback
-	case inTransaction:
-		// Closing the connection rolls the transaction back, whatever has become of the statement.
-		c.broken = true
-
-		return failure, errAmbiguous
-	case !statement.Writes:
-		// A read may run again at once. The connection is reset before its next use, which shows the answer that is still to come.
-		c.setupUncertain = true
+// statement is still to come. Checks are sent behind the statement: their answers arrive after that of the statement.
+func (c *conn) resolve(deadline time.Time, statement Command, failure Answer) (Answer, error) {
+	if c.stateBefore == Idle && !statement.Writes && statement.Kind != Commit {
+		// A read may run again at once. The check is sent before the connection is used again.
+		c.unresolved = true
 
 		return failure, nil
 	}
 
-	answers, err := c.send(deadline, follower)
+	// Of two checks, one shows the statement's answer also if a repeated answer passes for that to the other one.
+	first, second := c.check(), c.check()
+	first.Resolves, second.Undo = false, !first.Undo
+
+	answers, err := c.send(deadline, first, second)
 	if err != nil {
 		return Answer{}, err
 	}
 
-	settled := answers[0]
-	if statement.Kind != Commit && settled.Outcome == failure.Outcome && settled.Detail == failure.Detail {
-		// One of the two is the answer to the statement.
-		c.broken = true
-
-		return failure, nil
+	settled := answers[1]
+	if settled.Late == nil {
+		settled.Late = answers[0].Late
 	}
 
-	if settled.State != Idle || settled.Outcome != Done && statement.Kind != Commit {
-		c.broken = true
-
-		return Answer{}, eris.Wrapf(errAmbiguous, "the command behind the statement was answered with %s", settled.Outcome)
+	if answers[0].Outcome != Done {
+		settled.Outcome = answers[0].Outcome
 	}
 
-	if settled.Late != nil {
+	switch {
+	case settled.Late != nil:
+		c.broken = c.broken || settled.Outcome != Done || settled.State != settled.Late.State
+
 		return *settled.Late, nil
+	case settled.Outcome == Done && settled.State == failure.State:
+		return failure, nil
 	}
 
-	failure.State = Idle
+	// Closing the connection rolls back a transaction, whatever has become of the statement.
+	c.broken = true
 
-	return failure, nil
+	return failure, errAmbiguous
 }
 
-// errAmbiguous is returned for a failure that may be a repetition of an earlier one. The connection is closed.
+// errAmbiguous is returned together with a failure that may be a repetition of an earlier one. The connection is closed.
 var errAmbiguous = eris.New("the failure may be a repetition of an earlier one")
 
 // rollbackUnlessIdle rolls back a transaction that is open on the connection, so that other sessions can use it. This
@@ -268,6 +262,8 @@
 var errSetup = eris.New("session state could not be set up on the connection")
 
 func (c *conn) send(deadline time.Time, commands ...Command) ([]Answer, error) {
+	c.stateBefore = c.state
+
 	answers, err := c.backend.Run(deadline, commands...)
 	if err == nil && len(answers) != len(commands) {
 		err = eris.Errorf("server returned %d answers to %d commands", len(answers), len(commands))
--- a/internal/managedproxy/gateway_test.go
+++ b/internal/managedproxy/gateway_test.go
@@ -37,8 +37,8 @@
 	answerWith func(command Command) (answer Answer, err error, ok bool)
 	// failsAfter, if set, reports whether the server answers Failed although the command took effect.
 	failsAfter func(command Command) bool
-	// wrongState, if set, is the state that the server reports whatever it has.
-	wrongState    *State
+	// wrongState, if set, returns the state that the server reports after a command.
+	wrongState    func(kind Kind, state State) State
 	ranStatements []string
 	// rollbacks counts the transactions that were rolled back.
 	rollbacks int
@@ -110,7 +110,7 @@
 
 		answer.State = c.state
 		if c.server.wrongState != nil {
-			answer.State = *c.server.wrongState
+			answer.State = c.server.wrongState(command.Kind, c.state)
 		}
 
 		answer.Position = c.server.position
@@ -186,7 +186,7 @@
 }
 
 // DropUnexpected implements Backend.
-func (c *fakeConn) DropUnexpected() int { return 0 }
+func (c *fakeConn) DropUnexpected(bool) int { return 0 }
 
 // Alive implements Backend.
 func (c *fakeConn) Alive() bool {
--- a/internal/managedproxy/setup_test.go
+++ b/internal/managedproxy/setup_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -138,29 +140,44 @@
 	t.Parallel()
 
 	f := newFixture(t)
-	answer := func(state State) {
+	answer := func(wrong State, kinds ...Kind) {
 		primary := f.servers["p"]
 
 		primary.mutex.Lock()
 		defer primary.mutex.Unlock()
 
-		primary.wrongState = &state
+		primary.wrongState = func(kind Kind, state State) State {
+			if slices.Contains(kinds, kind) {
+				return wrong
+			}
+
+			return state
+		}
 	}
 
 	session := f.connect("latest")
 
-	answer(Open)
+	answer(Open, Write)
 
 	reply := session.ask(Write, "WRITE 1 a")
 	assert.Equal(t, result.ConnectionLost, result.CodeOf(reply.Err))
 
-	answer(Idle)
+	answer(Idle, Write)
 	session.ask(Begin, "BEGIN")
 
 	reply = session.ask(Write, "WRITE 2 a")
 	assert.Equal(t, result.ConnectionLost, result.CodeOf(reply.Err))
 	assert.False(t, IsRolledBack(reply.Err), "the write may have been committed")
 	assert.Equal(t, Aborted, reply.State)
+	session.ask(Rollback, "ROLLBACK")
+
+	// A statement is not sent if the server shows before that it has no transaction open.
+	answer(Idle, Begin, Check)
+	session.ask(Begin, "BEGIN")
+
+	reply = session.ask(Write, "WRITE 3 a")
+	assert.True(t, IsRolledBack(reply.Err))
+	assert.NotContains(t, fmt.Sprint(f.servers["p"].ranStatements), "WRITE 3")
 }
 
 // Guards against a connection whose recorded state is that of the failed command and not of the last one that ran.
--- a/internal/managedproxy/statement.go
+++ b/internal/managedproxy/statement.go
@@ -31,6 +31,8 @@
 	// command's a replica. The answer to both is the status.
 	Pause
 	StepDown
+	// Check has no effect that a session sees. Its success has no signature and does not depend on the state.
+	Check
 )
 
 // Statement is a request of a caller.
@@ -57,6 +59,8 @@
 	After position.Position
 	// Term is the term of a Pause or StepDown.
 	Term position.Term
+	// Undo is true for the second of two checks, and Resolves for the last one, behind which no answer is outstanding.
+	Undo, Resolves bool
 }
 
 // ReportsStatus reports whether the answer to a command of this kind has a status.
@@ -145,9 +149,9 @@
 	// Run sends the commands and returns their answers in order. It passes over answers that repeat earlier ones. After an
 	// error the connection can't be used.
 	Run(deadline time.Time, commands ...Command) ([]Answer, error)
-	// DropUnexpected drops the answers that have arrived although every command was answered, and returns their number. It tells
-	// the connection that the server repeats answers.
-	DropUnexpected() int
+	// DropUnexpected drops the answers that have arrived although every command was answered, and returns their number. With
+	// distrust, the server is known to repeat answers.
+	DropUnexpected(distrust bool) int
 	// Alive reports whether the connection still seems open, as far as this side can tell without waiting.
 	Alive() bool
 	Close()
