managedproxy: look for unexpected answers only where they could pass for others

The look before each statement costs a system call. An excess answer can't pass for that to a statement, which has a signature or whose refusal is resolved; it can for those to setup commands. At servers that are known to repeat answers the look goes before each statement as before.

--- a/internal/managedproxy/conn.go
+++ b/internal/managedproxy/conn.go
@@ -123,9 +123,14 @@
 func (c *conn) run(deadline time.Time, commands ...Command) (Answer, error) {
 	setup, last := commands[:len(commands)-1], commands[len(commands)-1]
 
-	c.dropUnexpected()
+	needsSetup := len(setup) > 0 || c.unresolved
 
-	if len(setup) > 0 || c.unresolved {
+	// An excess answer can't pass for that to a statement unless several repetitions come together.
+	if needsSetup || c.server.answers.repeats.Load() {
+		c.dropUnexpected()
+	}
+
+	if needsSetup {
 		answer, err := c.setUp(deadline, setup)
 		if err != nil {
 			return answer, err
