managedcontroller: use no probe connection with unexpected answers

Seen: with a server that repeats answers, each repetition put the open probe connection of the primary one answer further behind, for good. A primary that was down still answered as many probes as answers had been repeated, and the positions sent to proxies were as old.

Cause: an answer to STATUS does not name its command, so core/pairing can't tell a repetition from the answer, and the prober used the connection without looking whether an answer had arrived meanwhile.

Change: before a connection is used again, anything that has arrived on it closes it, and the probe uses a new one (Backend.Alive, one system call). The counter probe_answers_unexpected and a log line tell of it. So at most one answer on a connection, one that arrives between a command and its answer, is taken for a later one. A server that repeats nothing gets no further connections.

Ruled out: a new connection for each probe, which takes 12 ms of a slot four times a second; passing over STATUS answers that equal an earlier one, because a group without commits answers the same each time.

--- a/internal/managedcontroller/controller_test.go
+++ b/internal/managedcontroller/controller_test.go
@@ -103,6 +103,8 @@
 	acknowledged position.LSN
 	// promoteDelay is the time after which an order is executed.
 	promoteDelay time.Duration
+	// repetitions, if not nil, returns which answers of a server arrive more than once.
+	repetitions func(server string) repetition
 }
 
 // commit sends a commit to the primary, as a proxy does that is cut off from control.
@@ -143,7 +145,16 @@
 		return nil, &managedproxy.OutcomeError{Outcome: managedproxy.WrongServer}
 	}
 
-	return &probeConn{servers: s, id: server.ID}, nil
+	return newRepeatingConn(&probeConn{servers: s, id: server.ID}, func() repetition {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+
+		if s.repetitions == nil {
+			return repetition{}
+		}
+
+		return s.repetitions(server.ID)
+	}), nil
 }
 
 // Run implements managedproxy.Backend.
--- a/internal/managedcontroller/prober.go
+++ b/internal/managedcontroller/prober.go
@@ -89,12 +89,18 @@
 	notPaused bool
 	// unsupported is true if the server does not know the command.
 	unsupported bool
+	// unexpected is the number of answers that had arrived on a connection without a command and made the prober open a new one.
+	unexpected int
 	// inconclusive is true if no answer arrived in time, but this process was late and may have missed the answer.
 	inconclusive bool
 	err          error
 }
 
 // prober asks backend servers for their status over one connection to each.
+//
+// A server may repeat an answer, and nothing in an answer to STATUS tells which command it belongs to. Only the first answer
+// on a connection is certain to be that to its command. A connection is not used any longer once an answer has arrived
+// without a command, so that at most one answer on a connection is taken for that to a later command.
 type prober struct {
 	dial  managedproxy.Dialer
 	queue *probeQueue
@@ -123,15 +129,19 @@
 }
 
 func (p *prober) ask(deadline time.Time, server topology.Server, command managedproxy.Command, fresh bool) probeResult {
-	conn := p.conns[server.ID]
+	conn, unexpected := p.conns[server.ID], 0
+
+	if conn != nil && (fresh || !conn.Alive()) {
+		if !fresh {
+			unexpected = conn.DropUnexpected()
+		}
 
-	if conn != nil && fresh {
 		p.closeConn(server.ID)
 
 		conn = nil
 	}
 
-	probed := probeResult{freshConn: conn == nil}
+	probed := probeResult{freshConn: conn == nil, unexpected: unexpected}
 
 	if conn == nil {
 		opened, err := p.dial(deadline, server, "")
--- /dev/null
+++ b/internal/managedcontroller/repeatedanswers_test.go
@@ -0,0 +1,195 @@
+package managedcontroller
+
+import (
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"almondgrade/core/pairing"
+	"almondgrade/core/position"
+	"almondgrade/core/topology"
+	"almondgrade/internal/managedproxy"
+)
+
+// repetition says how often an answer arrives once more: at once, and after the next command was sent, before the answer to it.
+// With slow, an answer that arrives behind a repetition does so only after the next command was sent.
+type repetition struct {
+	atOnce, late int
+	slow         bool
+}
+
+// repeatingConn is a connection to a server that repeats answers. Commands get the answers in the order of arrival, because
+// nothing in an answer to STATUS tells which command it belongs to.
+type repeatingConn struct {
+	managedproxy.Backend
+	repetitions func() repetition
+
+	mutex   sync.Mutex
+	arrived []managedproxy.Answer
+	late    []managedproxy.Answer
+	seen    []managedproxy.Answer
+}
+
+func newRepeatingConn(server managedproxy.Backend, repetitions func() repetition) *repeatingConn {
+	return &repeatingConn{Backend: server, repetitions: repetitions}
+}
+
+// Run implements managedproxy.Backend. Answers that arrived before the connection was lost are still read.
+func (c *repeatingConn) Run(deadline time.Time, commands ...managedproxy.Command) ([]managedproxy.Answer, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	answers, err := c.Backend.Run(deadline, commands...)
+	if err != nil && len(c.arrived) == 0 {
+		return nil, err
+	}
+
+	if err == nil {
+		repeated := c.repetitions()
+		c.arrived = append(c.arrived, c.late...)
+		c.late = nil
+
+		for range 1 + repeated.atOnce {
+			if repeated.slow && len(c.arrived) > 0 {
+				c.late = append(c.late, answers[0])
+			} else {
+				c.arrived = append(c.arrived, answers[0])
+			}
+		}
+
+		for range repeated.late {
+			c.late = append(c.late, answers[0])
+		}
+	}
+
+	answer := c.arrived[0]
+	c.arrived = c.arrived[1:]
+	answer.Verdict = pairing.Genuine
+
+	for _, earlier := range c.seen {
+		if reflect.DeepEqual(earlier.Status, answer.Status) && earlier.Outcome == answer.Outcome {
+			answer.Verdict = pairing.Ambiguous
+		}
+	}
+
+	c.seen = append(c.seen, answer)
+
+	return []managedproxy.Answer{answer}, nil
+}
+
+// Alive implements managedproxy.Backend.
+func (c *repeatingConn) Alive() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	return len(c.arrived) == 0
+}
+
+// DropUnexpected implements managedproxy.Backend.
+func (c *repeatingConn) DropUnexpected() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+
+	dropped := len(c.arrived)
+	c.arrived = nil
+
+	return dropped
+}
+
+func (s *fakeServers) repeat(repeated repetition) {
+	s.repeatEach(func(string) repetition { return repeated })
+}
+
+func (s *fakeServers) repeatEach(repetitions func(server string) repetition) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+
+	s.repetitions = repetitions
+}
+
+// newSupervisor returns a supervisor of the fixture's group that does not run, with a detector for the group's primary.
+func (f *fixture) newSupervisor() *groupSupervisor {
+	f.t.Helper()
+
+	supervisor := newGroupSupervisor(f.controller.leadership(), "g")
+	f.t.Cleanup(supervisor.prober.close)
+	supervisor.monitorPrimary(f.log.state.View(), f.group())
+
+	return supervisor
+}
+
+// Guards against a dead primary that looks alive, and against positions of seconds ago, because a connection for probes was
+// behind by one answer for each repetition. A server that repeats nothing must not pay for it with new connections.
+func TestRepeatedAnswersDoNotDelayProbes(t *testing.T) {
+	t.Parallel()
+
+	const probes = 20
+
+	for _, test := range []struct {
+		name     string
+		repeated repetition
+		// staleInARow is the number of consecutive probes that may get the answer to an earlier one.
+		staleInARow int
+		connections int
+	}{
+		{"none", repetition{}, 0, 1},
+		{"at once", repetition{atOnce: 1}, 0, probes},
+		{"after the next command", repetition{late: 1}, 1, probes},
+		{"both", repetition{atOnce: 2, late: 2}, 1, probes},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFixture(t)
+			f.awaitPrimary("a")
+			f.servers.repeat(test.repeated)
+
+			supervisor, primary := f.newSupervisor(), f.log.state.View().Servers["a"]
+			supervisor.prober.close()
+
+			stale, mostStale, connections := 0, 0, 0
+			supervisor.prober.dial = func(deadline time.Time, server topology.Server, customer string) (managedproxy.Backend, error) {
+				connections++
+
+				return f.servers.dial(deadline, server, customer)
+			}
+
+			for i := range probes {
+				f.servers.mutex.Lock()
+				f.servers.received["a"] = position.LSN(100 + i)
+				f.servers.mutex.Unlock()
+
+				probed := supervisor.probePrimary(primary)
+				require.True(t, probed.answered)
+				require.False(t, probed.busy)
+
+				stale++
+				if probed.position.LSN == position.LSN(100+i) {
+					stale = 0
+				}
+
+				mostStale = max(mostStale, stale)
+			}
+
+			assert.LessOrEqual(t, mostStale, test.staleInARow, "consecutive probes that got an earlier answer")
+			assert.LessOrEqual(t, connections, test.connections)
+
+			f.servers.mutex.Lock()
+			f.servers.down["a"] = true
+			f.servers.mutex.Unlock()
+
+			answered := 0
+			for range probes {
+				if supervisor.probePrimary(primary).answered {
+					answered++
+				}
+			}
+
+			assert.LessOrEqual(t, answered, test.staleInARow, "probes that a dead primary answered")
+		})
+	}
+}
--- a/internal/managedcontroller/starved_test.go
+++ b/internal/managedcontroller/starved_test.go
@@ -69,6 +69,9 @@
 	return []managedproxy.Answer{{Status: status}}, nil
 }
 
+// Alive implements managedproxy.Backend.
+func (statusConn) Alive() bool { return true }
+
 // Close implements managedproxy.Backend.
 func (statusConn) Close() {}
 
--- a/internal/managedcontroller/supervisor.go
+++ b/internal/managedcontroller/supervisor.go
@@ -176,6 +176,19 @@
 	return false
 }
 
+// probe probes a server on the open connection, if there is one without unexpected answers.
+func (s *groupSupervisor) probe(server topology.Server) probeResult {
+	probed := s.prober.probe(server, false)
+
+	if probed.unexpected > 0 {
+		s.leadership.controller.options.Metrics.Counter("probe_answers_unexpected").Inc(int64(probed.unexpected))
+		s.logger().Info("server repeats answers; the probe uses a new connection", "group", s.group, "server", server.ID, "answers",
+			probed.unexpected)
+	}
+
+	return probed
+}
+
 // probePrimary probes the primary and passes the outcome to the detector. After a failure on an open connection it
 // retries at once on a new one, because only the connection may be lost. A probe without an answer while this process was
 // late says nothing and is not passed on.
@@ -187,7 +200,7 @@
 	defer s.leadership.probes.leave()
 
 	began := time.Now()
-	probed := s.prober.probe(server, false)
+	probed := s.probe(server)
 
 	if !probed.answered && !probed.freshConn && !probed.inconclusive {
 		began = time.Now()
--- a/internal/managedcontroller/takeover.go
+++ b/internal/managedcontroller/takeover.go
@@ -340,7 +340,7 @@
 	group topology.Group, candidate topology.Server, outcome Promotion, timeout time.Duration,
 ) position.Term {
 	for began := time.Now(); time.Since(began) < timeout; {
-		if probed := s.prober.probe(candidate, false); probed.primary && probed.term > group.Term {
+		if probed := s.probe(candidate); probed.primary && probed.term > group.Term {
 			return probed.term
 		}
 
