managedcontroller: publish no position of a repeated answer

Seen: with every third answer of a primary repeated after the next probe was sent, proxies were told the position of the probe before as that of the present one. The lowest position within a pool's maximum age is the one that its reads wait for, so that a read could miss commits that it must see (STALE).

Cause: the position in an answer that may be a repetition was published with the time at which the present probe was sent.

Change: a position in an answer that equals an earlier one on the connection is published 100 ms later, and only if nothing else has arrived on the connection by then: the answer that the probe has caused arrives within that time. A position that is new on the connection is published at once.

Ruled out: publishing no ambiguous positions, because a group without commits has no others; a new connection for each of them, which an idle group would open four times a second.

Remains: an answer that arrives more than 100 ms after the repetition of an earlier one.

TestPositionWithoutCommitsStaysRecent guards against the first ruled out way and passes before and after.

--- a/internal/managedcontroller/prober.go
+++ b/internal/managedcontroller/prober.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondgrade/core/lateness"
+	"almondgrade/core/pairing"
 	"almondgrade/core/position"
 	"almondgrade/core/timer"
 	"almondgrade/core/topology"
@@ -89,6 +90,8 @@
 	notPaused bool
 	// unsupported is true if the server does not know the command.
 	unsupported bool
+	// ambiguous is true if the answer may be a repetition of an earlier one on the connection.
+	ambiguous bool
 	// unexpected is the number of answers that had arrived on a connection without a command and made the prober open a new one.
 	unexpected int
 	// inconclusive is true if no answer arrived in time, but this process was late and may have missed the answer.
@@ -184,7 +187,7 @@
 }
 
 func (r probeResult) withAnswer(answer managedproxy.Answer) probeResult {
-	r.answered = true
+	r.answered, r.ambiguous = true, answer.Verdict == pairing.Ambiguous
 
 	if answer.Status == nil {
 		r.busy = true
@@ -199,6 +202,13 @@
 	return r
 }
 
+// quiet reports whether a connection to a server is open on which nothing has arrived since its last answer.
+func (p *prober) quiet(server string) bool {
+	conn := p.conns[server]
+
+	return conn != nil && conn.Alive()
+}
+
 // sendWithRetries sends a command on a new connection and retries while the server is busy.
 func (p *prober) sendWithRetries(ctx context.Context, server topology.Server, command managedproxy.Command) probeResult {
 	probed := p.send(server, command, true)
--- a/internal/managedcontroller/repeatedanswers_test.go
+++ b/internal/managedcontroller/repeatedanswers_test.go
@@ -3,6 +3,7 @@
 import (
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -193,3 +194,93 @@
 		})
 	}
 }
+
+// Guards against reads that miss commits which the pool's maximum age covers: proxies were told an earlier position of the
+// primary as that of the present probe.
+func TestPublishedPositionCoversCommitsBeforeItsProbe(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		name     string
+		repeated repetition
+	}{
+		{"none", repetition{}},
+		{"at once", repetition{atOnce: 1}},
+		{"after the next command", repetition{late: 1}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFixture(t)
+
+			var probes atomic.Int64
+
+			f.servers.repeatEach(func(string) repetition {
+				if probes.Add(1)%3 == 0 {
+					return test.repeated
+				}
+
+				return repetition{}
+			})
+			f.awaitPrimary("a")
+
+			type commit struct {
+				at  time.Time
+				lsn position.LSN
+			}
+
+			var commits []commit
+
+			published := make(map[primaryPosition]bool)
+
+			for len(published) < 8 {
+				f.servers.mutex.Lock()
+				f.servers.received["a"]++
+				commits = append(commits, commit{f.bootTime(), f.servers.received["a"]})
+				f.servers.mutex.Unlock()
+
+				leadership := f.controller.leadership()
+				leadership.mutex.Lock()
+				if latest, known := leadership.positions["g"]; known {
+					published[latest] = true
+				}
+				leadership.mutex.Unlock()
+
+				time.Sleep(5 * time.Millisecond)
+			}
+
+			for latest := range published {
+				for _, made := range commits {
+					if made.at.Before(latest.askedAt) {
+						require.LessOrEqual(t, made.lsn, latest.position.LSN, "a commit %s before the probe is not covered",
+							latest.askedAt.Sub(made.at))
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against a position of a group without commits that proxies are no longer told because it equals the one before.
+func TestPositionWithoutCommitsStaysRecent(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	f.servers.repeat(repetition{})
+	f.awaitPrimary("a")
+
+	published := make(map[primaryPosition]bool)
+
+	require.Eventually(t, func() bool {
+		leadership := f.controller.leadership()
+
+		leadership.mutex.Lock()
+		defer leadership.mutex.Unlock()
+
+		if latest, known := leadership.positions["g"]; known {
+			published[latest] = true
+		}
+
+		return len(published) >= 8
+	}, 10*time.Second, time.Millisecond)
+}
--- a/internal/managedcontroller/supervisor.go
+++ b/internal/managedcontroller/supervisor.go
@@ -21,6 +21,9 @@
 	demotedAfterProbes = 3
 	// slowThreshold is the response time above which an answer counts as slow.
 	slowThreshold = 200 * time.Millisecond
+	// repetitionWait is the time after an answer that may be a repetition within which the answer to the command must have
+	// arrived. A server empties its queue in about 0.1 s.
+	repetitionWait = 100 * time.Millisecond
 )
 
 // groupSupervisor monitors the primary of one group and replaces it, while this process leads. Only its own goroutine
@@ -39,6 +42,8 @@
 	// demotedProbes is the number of probes in which the primary has answered that it is a replica, since it last answered
 	// that it is the primary.
 	demotedProbes int
+	// unconfirmed is a position of the primary from an answer that may be a repetition, or the zero value.
+	unconfirmed primaryPosition
 	// newestTermMissingSince is the time since which the current takeover has found no server of the newest term.
 	newestTermMissingSince time.Time
 }
@@ -53,6 +58,7 @@
 	for s.leadership.ctx.Err() == nil {
 		began := time.Now()
 		s.handlePhase()
+		s.confirmPosition()
 		interval := probeIntervalFor(len(s.leadership.controller.options.State.View().Groups))
 		s.leadership.sleep(interval - min(interval, time.Since(began)))
 	}
@@ -122,9 +128,7 @@
 		asked := s.leadership.controller.options.BootTime()
 		probed := s.probePrimary(primary)
 
-		if probed.primary {
-			s.leadership.recordPosition(s.group, primaryPosition{position: probed.position, askedAt: asked})
-		}
+		s.recordPosition(probed, primaryPosition{position: probed.position, askedAt: asked})
 
 		if s.observeRole(view, group, probed) {
 			return
@@ -159,6 +163,33 @@
 	}
 }
 
+// recordPosition records the position in an answer of the primary, which covers all commits before the probe was sent, unless the
+// answer may be that to an earlier probe.
+func (s *groupSupervisor) recordPosition(probed probeResult, latest primaryPosition) {
+	s.unconfirmed = primaryPosition{}
+
+	switch {
+	case !probed.primary:
+	case probed.ambiguous:
+		s.unconfirmed = latest
+	default:
+		s.leadership.recordPosition(s.group, latest)
+	}
+}
+
+// confirmPosition records an unconfirmed position if no other answer has arrived repetitionWait after it.
+func (s *groupSupervisor) confirmPosition() {
+	if s.unconfirmed == (primaryPosition{}) || !s.leadership.sleep(repetitionWait) {
+		return
+	}
+
+	if s.prober.quiet(s.monitored) {
+		s.leadership.recordPosition(s.group, s.unconfirmed)
+	}
+
+	s.unconfirmed = primaryPosition{}
+}
+
 // observeRole counts the probes in which the recorded primary answers that it is a replica. It stopped being the primary
 // without an order from this control, so another server may be the primary: observeRole returns whether one was adopted.
 func (s *groupSupervisor) observeRole(view *topology.View, group topology.Group, probed probeResult) bool {
