managedcontroller: retry refused commands on new connections

Seen: a replica that refused STATUS or PAUSE once with BUSY, and repeated the refusal after the next attempt was sent, was recorded with its position at an earlier attempt, or as not paused, although it was. A candidate for promotion may be chosen from such a position.

Cause: the attempts used one connection, on which the second attempt got the repetition and the third one the answer to the second.

Change: each attempt uses a new connection, so that its answer is the first one there.

Ruled out: accepting only pausedFor equal to the term asked for. On the first answer of a connection a higher term is as current, and means that the replica receives nothing; an attempt of the same takeover that knew of a higher term leaves it behind.

--- a/internal/managedcontroller/prober.go
+++ b/internal/managedcontroller/prober.go
@@ -209,7 +209,8 @@
 	return conn != nil && conn.Alive()
 }
 
-// sendWithRetries sends a command on a new connection and retries while the server is busy.
+// sendWithRetries sends a command and retries while the server is busy. Each attempt uses a new connection: on one with a refusal,
+// the answer to the next attempt may be a repetition of the refusal, and that to the one after it an earlier status.
 func (p *prober) sendWithRetries(ctx context.Context, server topology.Server, command managedproxy.Command) probeResult {
 	probed := p.send(server, command, true)
 
@@ -218,7 +219,7 @@
 			break
 		}
 
-		probed = p.send(server, command, false)
+		probed = p.send(server, command, true)
 	}
 
 	return probed
--- a/internal/managedcontroller/repeatedanswers_test.go
+++ b/internal/managedcontroller/repeatedanswers_test.go
@@ -284,3 +284,88 @@
 		return len(published) >= 8
 	}, 10*time.Second, time.Millisecond)
 }
+
+// scriptedServer answers each command, counted from 1 over all connections.
+type scriptedServer struct {
+	mutex  sync.Mutex
+	count  int
+	answer func(count int, command managedproxy.Command) (managedproxy.Answer, repetition)
+	last   repetition
+}
+
+func (s *scriptedServer) dial(time.Time, topology.Server, string) (managedproxy.Backend, error) {
+	server := answeringConn(func(command managedproxy.Command) managedproxy.Answer {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+
+		s.count++
+		answer, repeated := s.answer(s.count, command)
+		s.last = repeated
+
+		return answer
+	})
+
+	return newRepeatingConn(server, func() repetition {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+
+		return s.last
+	}), nil
+}
+
+// Guards against a replica that is no candidate, or one with an earlier position, because its refusal arrived more than
+// once and the next attempts on the connection got the repetitions.
+func TestRefusedCommandIsRetriedOnANewConnection(t *testing.T) {
+	t.Parallel()
+
+	busy := managedproxy.Answer{Outcome: managedproxy.Busy}
+
+	for _, test := range []struct {
+		name     string
+		command  managedproxy.Command
+		repeated repetition
+	}{
+		{"status, repeated at once", statusCommand, repetition{atOnce: 1}},
+		{"status, repeated after the next command", statusCommand, repetition{late: 1}},
+		{"status, the answer arrives later than the repetition", statusCommand, repetition{late: 1, slow: true}},
+		{"pause, repeated at once", commandWithTerm(managedproxy.Pause, 5), repetition{atOnce: busyRetries}},
+		{"pause, repeated after the next command", commandWithTerm(managedproxy.Pause, 5), repetition{late: busyRetries}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFixture(t)
+			f.awaitPrimary("a")
+
+			var (
+				mutex    sync.Mutex
+				received position.LSN
+			)
+
+			server := &scriptedServer{answer: func(count int, command managedproxy.Command) (managedproxy.Answer, repetition) {
+				if count == 1 {
+					return busy, test.repeated
+				}
+
+				mutex.Lock()
+				defer mutex.Unlock()
+
+				status := &managedproxy.ServerStatus{Term: 4, PausedFor: command.Term}
+				if command.Kind == managedproxy.Status {
+					received++
+				}
+
+				status.Received = position.Position{Term: 4, LSN: received}
+
+				return managedproxy.Answer{Status: status}, repetition{slow: test.repeated.slow}
+			}}
+
+			supervisor := newGroupSupervisor(f.controller.leadership(), "g")
+			supervisor.leadership.controller.options.Dial = server.dial
+
+			candidates, _ := supervisor.gatherCandidates(f.group(), []topology.Server{{ID: "b", Group: "g"}}, test.command)
+			require.Len(t, candidates, 1)
+			assert.Equal(t, received, candidates[0].Received.LSN, "the position is that of an earlier attempt")
+		})
+	}
+}
