managedcontroller: retry STEPDOWN until it is confirmed

Seen: in a planned takeover a primary that refused STEPDOWN once with BUSY stayed the primary until the promotion; transactions that reached it by a proxy that is frozen or cut off got no answer until their timeout. The logged answer could be that to an earlier STATUS.

Cause: STEPDOWN was sent once, on the connection of the regular probes.

Change: it is sent on a new connection, retried while the server refuses it, and counts as confirmed by a role other than primary or a term at or above the one asked for; a warning tells if it is not. The takeover goes on without a confirmation: a primary that doesn't answer can't confirm, and acknowledged commits are kept by the paused replicas.

--- a/internal/managedcontroller/commitstop.go
+++ b/internal/managedcontroller/commitstop.go
@@ -1,6 +1,8 @@
 package managedcontroller
 
 import (
+	"log/slog"
+
 	"almondgrade/core/position"
 	"almondgrade/core/promotion"
 	"almondgrade/core/topology"
@@ -29,9 +31,7 @@
 	term++
 
 	if primary, found := view.Servers[group.Primary]; found && group.Planned {
-		stepped := s.prober.send(primary, commandWithTerm(managedproxy.StepDown, term), false)
-		s.logger().Info("primary was told to step down", "group", s.group, "server", primary.ID, "term", term, "primary", stepped.primary,
-			"position", stepped.position, "unsupported", stepped.unsupported, "error", stepped.err)
+		s.stepDown(primary, term)
 	}
 
 	candidates, leader = s.gatherCandidates(group, replicas, commandWithTerm(managedproxy.Pause, term))
@@ -41,6 +41,21 @@
 	return candidates, leader
 }
 
+// stepDown tells the primary to step down. The takeover goes on without a confirmation, because a primary that does not answer
+// can't give one, and the paused replicas keep it from acknowledging commits.
+func (s *groupSupervisor) stepDown(primary topology.Server, term position.Term) {
+	stepped := s.prober.sendWithRetries(s.leadership.ctx, primary, commandWithTerm(managedproxy.StepDown, term))
+	confirmed := stepped.answered && !stepped.busy && (!stepped.primary || stepped.term >= term)
+
+	level := slog.LevelInfo
+	if !confirmed {
+		level = slog.LevelWarn
+	}
+
+	s.logger().Log(s.leadership.ctx, level, "primary was told to step down", "group", s.group, "server", primary.ID, "term", term,
+		"confirmed", confirmed, "position", stepped.position, "unsupported", stepped.unsupported, "error", stepped.err)
+}
+
 func commandWithTerm(kind managedproxy.Kind, term position.Term) managedproxy.Command {
 	return managedproxy.Command{Statement: managedproxy.Statement{Kind: kind}, Term: term}
 }
--- a/internal/managedcontroller/repeatedanswers_test.go
+++ b/internal/managedcontroller/repeatedanswers_test.go
@@ -369,3 +369,55 @@
 		})
 	}
 }
+
+// Guards against a primary that goes on acknowledging commits in a planned takeover because it refused STEPDOWN once, or
+// because the answer to an earlier command was taken for the confirmation.
+func TestStepDownIsRetriedUntilConfirmed(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		name     string
+		repeated repetition
+	}{
+		{"refused once", repetition{}},
+		{"refused once, repeated at once", repetition{atOnce: 1}},
+		{"refused once, repeated after the next command", repetition{late: 1}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFixture(t)
+			f.awaitPrimary("a")
+			supervisor := f.newSupervisor()
+
+			var steppedDown atomic.Bool
+
+			refused := false
+			server := &scriptedServer{answer: func(_ int, command managedproxy.Command) (managedproxy.Answer, repetition) {
+				if command.Kind == managedproxy.StepDown && !refused {
+					refused = true
+
+					return managedproxy.Answer{Outcome: managedproxy.Busy}, test.repeated
+				}
+
+				if command.Kind == managedproxy.StepDown {
+					steppedDown.Store(true)
+				}
+
+				return managedproxy.Answer{Status: &managedproxy.ServerStatus{Primary: !steppedDown.Load(), Term: 1}}, test.repeated
+			}}
+			supervisor.prober.close()
+			supervisor.prober.dial = server.dial
+
+			view, group := f.log.state.View(), f.group()
+			group.Planned = true
+
+			for range 2 {
+				supervisor.prober.probe(view.Servers["a"], false)
+			}
+
+			supervisor.stopCommits(view, group, nil, nil)
+			assert.True(t, steppedDown.Load())
+		})
+	}
+}
