managedcontroller: judge catch-up by first answers only

Seen: a planned takeover stopped waiting for a replica to receive what the primary had committed, because an earlier position of the primary was taken for the present one: commits of groups without synchronous replicas were left behind. A primary that refused STATUS once with BUSY ended the wait as well.

Cause: the position came from the connection of the regular probes.

Change: each status of the primary during this wait is the first answer on its connection, like those of the replicas, and a refusal is retried.

--- a/internal/managedcontroller/repeatedanswers_test.go
+++ b/internal/managedcontroller/repeatedanswers_test.go
@@ -12,6 +12,7 @@
 
 	"almondgrade/core/pairing"
 	"almondgrade/core/position"
+	"almondgrade/core/promotion"
 	"almondgrade/core/topology"
 	"almondgrade/internal/managedproxy"
 )
@@ -421,3 +422,58 @@
 		})
 	}
 }
+
+// Guards against a planned takeover that promotes a replica which lacks commits, because an earlier position of the primary
+// was taken for the present one.
+func TestCatchUpIsJudgedByThePresentPosition(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		name     string
+		repeated repetition
+	}{
+		{"none", repetition{}},
+		{"at once", repetition{atOnce: 1}},
+		{"after the next command", repetition{late: 1}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFixture(t)
+			f.awaitPrimary("a")
+			f.servers.repeat(test.repeated)
+
+			supervisor, view, group := f.newSupervisor(), f.log.state.View(), f.group()
+			replicas := supervisor.replicas(view, group)
+
+			f.servers.mutex.Lock()
+			f.servers.received["a"] = 7
+			f.servers.mutex.Unlock()
+
+			for range 4 {
+				supervisor.prober.probe(view.Servers["a"], false)
+			}
+
+			f.servers.mutex.Lock()
+			f.servers.received["a"] = 9
+			f.servers.mutex.Unlock()
+
+			candidates, _ := supervisor.gatherCandidates(group, replicas, statusCommand)
+			require.False(t, caughtUp(candidates, position.Position{Term: 1, LSN: 9}))
+
+			time.AfterFunc(200*time.Millisecond, func() {
+				f.servers.mutex.Lock()
+				defer f.servers.mutex.Unlock()
+
+				f.servers.received["c"] = 9
+			})
+
+			candidates = supervisor.awaitCatchUp(view, group, replicas, candidates)
+			assert.True(t, caughtUp(candidates, position.Position{Term: 1, LSN: 9}), "candidates %v", candidates)
+
+			best, possible := promotion.ChooseCandidate(candidates, promotion.Requirements{Replicas: 2, Term: 1})
+			assert.True(t, possible)
+			assert.Equal(t, "c", best)
+		})
+	}
+}
--- a/internal/managedcontroller/takeover.go
+++ b/internal/managedcontroller/takeover.go
@@ -271,7 +271,8 @@
 	}
 
 	for began := time.Now(); time.Since(began) < catchUpTimeout; {
-		probed := s.prober.probe(primary, false)
+		// An earlier position would end the wait too soon.
+		probed := s.prober.sendWithRetries(s.leadership.ctx, primary, statusCommand)
 		if !probed.answered || !probed.primary {
 			return candidates
 		}
