managedcontroller: abandon takeovers by certain answers only

Seen: a takeover of a primary that had become a replica was abandoned, because the answer to an earlier probe, from when it was the primary, arrived once more.

Cause: the answer came from an open connection, where one that arrives between a command and its answer can't be told from it.

Change: an answer that would end a takeover is confirmed by the first answer on a new connection. One connection for each takeover that is abandoned.

--- a/internal/managedcontroller/repeatedanswers_test.go
+++ b/internal/managedcontroller/repeatedanswers_test.go
@@ -477,3 +477,43 @@
 		})
 	}
 }
+
+// Guards against a takeover that is abandoned because a primary that has become a replica seems to be the primary: the answer
+// was that to an earlier probe.
+func TestRepeatedAnswerDoesNotAbandonATakeover(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		name     string
+		repeated repetition
+	}{
+		{"none", repetition{}},
+		{"at once", repetition{atOnce: 1}},
+		{"after the next command", repetition{late: 1}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFixture(t)
+			f.awaitPrimary("a")
+			f.servers.repeat(test.repeated)
+
+			for probesBefore := range 3 {
+				supervisor := f.newSupervisor()
+				for range probesBefore {
+					require.True(t, supervisor.primaryRecovered(f.group()))
+				}
+
+				f.servers.mutex.Lock()
+				f.servers.steppedDown = true
+				f.servers.mutex.Unlock()
+
+				assert.False(t, supervisor.primaryRecovered(f.group()), "after %d probes", probesBefore)
+
+				f.servers.mutex.Lock()
+				f.servers.steppedDown = false
+				f.servers.mutex.Unlock()
+			}
+		})
+	}
+}
--- a/internal/managedcontroller/supervisor.go
+++ b/internal/managedcontroller/supervisor.go
@@ -220,6 +220,16 @@
 	return probed
 }
 
+// confirmOnNewConn returns the answer of a server to a probe on a new connection, where it can't be that to an earlier probe. That is
+// the given one if its connection was new.
+func (s *groupSupervisor) confirmOnNewConn(server topology.Server, probed probeResult) probeResult {
+	if probed.freshConn {
+		return probed
+	}
+
+	return s.prober.probe(server, true)
+}
+
 // probePrimary probes the primary and passes the outcome to the detector. After a failure on an open connection it
 // retries at once on a new one, because only the connection may be lost. A probe without an answer while this process was
 // late says nothing and is not passed on.
--- a/internal/managedcontroller/takeover.go
+++ b/internal/managedcontroller/takeover.go
@@ -107,8 +107,11 @@
 	}
 
 	probed := s.probePrimary(primary)
+	if !probed.answered || !probed.primary || s.detector.State() == failover.Dead {
+		return false
+	}
 
-	return probed.answered && probed.primary && s.detector.State() != failover.Dead
+	return s.confirmOnNewConn(primary, probed).primary
 }
 
 // recordCandidate chooses a candidate, records it and returns the fencing token of the order, or zero if there is none.
