managedcontroller: judge demotions by first answers only

Seen: a primary counted as one that had become a replica in three probes, and a takeover of it began, although it was the primary again in the third: the answer was that to the second probe.

Cause: the answers came from the open connection of the regular probes.

Change: an answer that the primary is a replica counts only if it is the first one on its connection; otherwise the prober asks again on a new one. A primary that stays the primary costs no further connection.

--- a/internal/managedcontroller/repeatedanswers_test.go
+++ b/internal/managedcontroller/repeatedanswers_test.go
@@ -517,3 +517,48 @@
 		})
 	}
 }
+
+// Guards against a primary that is replaced because of answers from before it became the primary.
+func TestRepeatedAnswersDoNotDemoteAPrimary(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		name     string
+		repeated repetition
+	}{
+		{"at once", repetition{atOnce: 1}},
+		{"after the next command", repetition{late: 1}},
+		{"the answer arrives later than the repetition", repetition{late: 1, slow: true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			f := newFixture(t)
+			f.awaitPrimary("a")
+
+			supervisor, view, group := f.newSupervisor(), f.log.state.View(), f.group()
+
+			var primary atomic.Bool
+
+			server := &scriptedServer{answer: func(int, managedproxy.Command) (managedproxy.Answer, repetition) {
+				return managedproxy.Answer{Status: &managedproxy.ServerStatus{Primary: primary.Load(), Term: 1}}, test.repeated
+			}}
+			supervisor.prober.close()
+			supervisor.prober.dial = server.dial
+
+			for range demotedAfterProbes - 1 {
+				supervisor.monitorPrimary(view, group)
+			}
+
+			assert.Equal(t, demotedAfterProbes-1, supervisor.demotedProbes)
+			primary.Store(true)
+
+			for range demotedAfterProbes {
+				supervisor.monitorPrimary(view, group)
+				assert.Zero(t, supervisor.demotedProbes)
+			}
+
+			assert.Equal(t, topology.PhaseStable, f.group().Phase)
+		})
+	}
+}
--- a/internal/managedcontroller/supervisor.go
+++ b/internal/managedcontroller/supervisor.go
@@ -127,6 +127,9 @@
 	if known {
 		asked := s.leadership.controller.options.BootTime()
 		probed := s.probePrimary(primary)
+		if probed.answered && !probed.busy && !probed.primary {
+			probed = s.confirmOnNewConn(primary, probed)
+		}
 
 		s.recordPosition(probed, primaryPosition{position: probed.position, askedAt: asked})
 
