--- a/internal/managedcontroller/prober.go
+++ b/internal/managedcontroller/prober.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondgrade/core/lateness"
+	"almondgrade/core/pairing"
 	"almondgrade/core/position"
 	"almondgrade/core/timer"
 	"almondgrade/core/topology"
@@ -89,12 +90,20 @@
 	notPaused bool
 	// unsupported is true if the server does not know the command.
 	unsupported bool
+	// ambiguous is true if the answer may be a repetition of an earlier one on the connection.
+	ambiguous bool
+	// unexpected is the number of answers that had arrived on a connection without a command and made the prober open a new one.
+	unexpected int
 	// inconclusive is true if no answer arrived in time, but this process was late and may have missed the answer.
 	inconclusive bool
 	err          error
 }
 
 // prober asks backend servers for their status over one connection to each.
+//
+// A server may repeat an answer, and nothing in an answer to STATUS tells which command it belongs to. Only the first answer
+// on a connection is certain to be that to its command. A connection is not used any longer once an answer has arrived
+// without a command, so that at most one answer on a connection is taken for that to a later command.
 type prober struct {
 	dial  managedproxy.Dialer
 	queue *probeQueue
@@ -123,15 +132,19 @@
 }
 
 func (p *prober) ask(deadline time.Time, server topology.Server, command managedproxy.Command, fresh bool) probeResult {
-	conn := p.conns[server.ID]
+	conn, unexpected := p.conns[server.ID], 0
+
+	if conn != nil && (fresh || !conn.Alive()) {
+		if !fresh {
+			unexpected = conn.DropUnexpected(false)
+		}
 
-	if conn != nil && fresh {
 		p.closeConn(server.ID)
 
 		conn = nil
 	}
 
-	probed := probeResult{freshConn: conn == nil}
+	probed := probeResult{freshConn: conn == nil, unexpected: unexpected}
 
 	if conn == nil {
 		opened, err := p.dial(deadline, server, "")
@@ -174,7 +187,7 @@
 }
 
 func (r probeResult) withAnswer(answer managedproxy.Answer) probeResult {
-	r.answered = true
+	r.answered, r.ambiguous = true, answer.Verdict == pairing.Ambiguous
 
 	if answer.Status == nil {
 		r.busy = true
@@ -189,7 +202,15 @@
 	return r
 }
 
-// sendWithRetries sends a command on a new connection and retries while the server is busy.
+// quiet reports whether a connection to a server is open on which nothing has arrived since its last answer.
+func (p *prober) quiet(server string) bool {
+	conn := p.conns[server]
+
+	return conn != nil && conn.Alive()
+}
+
+// sendWithRetries sends a command and retries while the server is busy. Each attempt uses a new connection: on one with a refusal,
+// the answer to the next attempt may be a repetition of the refusal, and that to the one after it an earlier status.
 func (p *prober) sendWithRetries(ctx context.Context, server topology.Server, command managedproxy.Command) probeResult {
 	probed := p.send(server, command, true)
 
@@ -198,7 +219,7 @@
 			break
 		}
 
-		probed = p.send(server, command, false)
+		probed = p.send(server, command, true)
 	}
 
 	return probed
--- a/internal/managedcontroller/supervisor.go
+++ b/internal/managedcontroller/supervisor.go
@@ -21,6 +21,9 @@
 	demotedAfterProbes = 3
 	// slowThreshold is the response time above which an answer counts as slow.
 	slowThreshold = 200 * time.Millisecond
+	// repetitionWait is the time after an answer that may be a repetition within which the answer to the command must have
+	// arrived. A server empties its queue in about 0.1 s.
+	repetitionWait = 100 * time.Millisecond
 )
 
 // groupSupervisor monitors the primary of one group and replaces it, while this process leads. Only its own goroutine
@@ -32,6 +35,8 @@
 	detector   *failover.Detector
 	// monitored is the ID of the primary that the detector observes.
 	monitored string
+	// primarySince is the time at which this supervisor recorded the primary, or zero if an earlier leadership did.
+	primarySince time.Time
 	// firstFailure and lastFailure are the beginnings of the first and last of the consecutive failures that the detector
 	// has counted, or zero.
 	firstFailure time.Time
@@ -39,6 +44,8 @@
 	// demotedProbes is the number of probes in which the primary has answered that it is a replica, since it last answered
 	// that it is the primary.
 	demotedProbes int
+	// unconfirmed is a position of the primary from an answer that may be a repetition, or the zero value.
+	unconfirmed primaryPosition
 	// newestTermMissingSince is the time since which the current takeover has found no server of the newest term.
 	newestTermMissingSince time.Time
 }
@@ -53,6 +60,7 @@
 	for s.leadership.ctx.Err() == nil {
 		began := time.Now()
 		s.handlePhase()
+		s.confirmPosition()
 		interval := probeIntervalFor(len(s.leadership.controller.options.State.View().Groups))
 		s.leadership.sleep(interval - min(interval, time.Since(began)))
 	}
@@ -96,6 +104,7 @@
 		return false
 	}
 
+	s.primarySince = time.Now()
 	_, err := s.leadership.controller.propose(s.leadership.ctx, topology.Command{
 		AdoptPrimary: &topology.AdoptPrimary{Group: s.group, Primary: primary, ExpectedPrimary: group.Primary, Term: state.term},
 	})
@@ -121,11 +130,12 @@
 	if known {
 		asked := s.leadership.controller.options.BootTime()
 		probed := s.probePrimary(primary)
-
-		if probed.primary {
-			s.leadership.recordPosition(s.group, primaryPosition{position: probed.position, askedAt: asked})
+		if probed.answered && !probed.busy && !probed.primary {
+			probed = s.confirmOnNewConn(primary, probed)
 		}
 
+		s.recordPosition(probed, primaryPosition{position: probed.position, askedAt: asked})
+
 		if s.observeRole(view, group, probed) {
 			return
 		}
@@ -139,7 +149,10 @@
 
 	now := time.Now()
 	for _, reachability := range s.leadership.reachabilityOf(now, group.Primary) {
-		evidence.ProxyReports = append(evidence.ProxyReports, promotion.ProxyReport{Reached: reachability.Reached, Failing: reachability.FailingFor})
+		// A proxy may not have used the server since it was down as a replica or a former primary.
+		evidence.ProxyReports = append(evidence.ProxyReports, promotion.ProxyReport{
+			Reached: reachability.Reached, Failing: min(reachability.FailingFor, now.Sub(s.primarySince)),
+		})
 	}
 
 	if promotion.JudgePrimary(evidence) != promotion.Replace || len(s.replicas(view, group)) == 0 {
@@ -159,6 +172,33 @@
 	}
 }
 
+// recordPosition records the position in an answer of the primary, which covers all commits before the probe was sent, unless the
+// answer may be that to an earlier probe.
+func (s *groupSupervisor) recordPosition(probed probeResult, latest primaryPosition) {
+	s.unconfirmed = primaryPosition{}
+
+	switch {
+	case !probed.primary:
+	case probed.ambiguous:
+		s.unconfirmed = latest
+	default:
+		s.leadership.recordPosition(s.group, latest)
+	}
+}
+
+// confirmPosition records an unconfirmed position if no other answer has arrived repetitionWait after it.
+func (s *groupSupervisor) confirmPosition() {
+	if s.unconfirmed == (primaryPosition{}) || !s.leadership.sleep(repetitionWait) {
+		return
+	}
+
+	if s.prober.quiet(s.monitored) {
+		s.leadership.recordPosition(s.group, s.unconfirmed)
+	}
+
+	s.unconfirmed = primaryPosition{}
+}
+
 // observeRole counts the probes in which the recorded primary answers that it is a replica. It stopped being the primary
 // without an order from this control, so another server may be the primary: observeRole returns whether one was adopted.
 func (s *groupSupervisor) observeRole(view *topology.View, group topology.Group, probed probeResult) bool {
@@ -176,6 +216,29 @@
 	return false
 }
 
+// probe probes a server on the open connection, if there is one without unexpected answers.
+func (s *groupSupervisor) probe(server topology.Server) probeResult {
+	probed := s.prober.probe(server, false)
+
+	if probed.unexpected > 0 {
+		s.leadership.controller.options.Metrics.Counter("probe_answers_unexpected").Inc(int64(probed.unexpected))
+		s.logger().Info("server repeats answers; the probe uses a new connection", "group", s.group, "server", server.ID, "answers",
+			probed.unexpected)
+	}
+
+	return probed
+}
+
+// confirmOnNewConn returns the answer of a server to a probe on a new connection, where it can't be that to an earlier probe. That is
+// the given one if its connection was new.
+func (s *groupSupervisor) confirmOnNewConn(server topology.Server, probed probeResult) probeResult {
+	if probed.freshConn {
+		return probed
+	}
+
+	return s.prober.probe(server, true)
+}
+
 // probePrimary probes the primary and passes the outcome to the detector. After a failure on an open connection it
 // retries at once on a new one, because only the connection may be lost. A probe without an answer while this process was
 // late says nothing and is not passed on.
@@ -187,7 +250,7 @@
 	defer s.leadership.probes.leave()
 
 	began := time.Now()
-	probed := s.prober.probe(server, false)
+	probed := s.probe(server)
 
 	if !probed.answered && !probed.freshConn && !probed.inconclusive {
 		began = time.Now()
--- a/internal/managedcontroller/takeover.go
+++ b/internal/managedcontroller/takeover.go
@@ -107,8 +107,11 @@
 	}
 
 	probed := s.probePrimary(primary)
+	if !probed.answered || !probed.primary || s.detector.State() == failover.Dead {
+		return false
+	}
 
-	return probed.answered && probed.primary && s.detector.State() != failover.Dead
+	return s.confirmOnNewConn(primary, probed).primary
 }
 
 // recordCandidate chooses a candidate, records it and returns the fencing token of the order, or zero if there is none.
@@ -271,7 +274,8 @@
 	}
 
 	for began := time.Now(); time.Since(began) < catchUpTimeout; {
-		probed := s.prober.probe(primary, false)
+		// An earlier position would end the wait too soon.
+		probed := s.prober.sendWithRetries(s.leadership.ctx, primary, statusCommand)
 		if !probed.answered || !probed.primary {
 			return candidates
 		}
@@ -340,7 +344,7 @@
 	group topology.Group, candidate topology.Server, outcome Promotion, timeout time.Duration,
 ) position.Term {
 	for began := time.Now(); time.Since(began) < timeout; {
-		if probed := s.prober.probe(candidate, false); probed.primary && probed.term > group.Term {
+		if probed := s.probe(candidate); probed.primary && probed.term > group.Term {
 			return probed.term
 		}
 
@@ -358,6 +362,7 @@
 }
 
 func (s *groupSupervisor) finishTakeover(group topology.Group, term position.Term) {
+	s.primarySince = time.Now()
 	_, err := s.leadership.controller.propose(s.leadership.ctx, topology.Command{
 		FinishTakeover: &topology.FinishTakeover{Group: s.group, Token: group.Token, Primary: group.Candidate, Term: term},
 	})
