io/managedpeer: accept texts that are not valid UTF-8

A statement, value or row that is not valid UTF-8 was not passed on to a proxy that holds the connections, although the same bytes reach a server from a proxy with connections of its own. The call failed as if the other proxy had not answered, so that the outcome of a write counted as unknown, and the proxy that was called, or had run the statement, counted as lost. The same happened to answers with more than 131,072 rows.

Cause: messages between proxies are CBOR, whose decoder refuses text strings that are not valid UTF-8, and arrays beyond a default limit. The encoder accepts both.

Change: the decoder accepts what the encoder writes; the size of a frame is the limit. The bytes on the wire are as before, so that builds can be mixed.

TestTextsThatAreNotUTF8ReachTheOtherProxyUnchanged (texts, rows and values of random bytes) and TestManySmallRowsReachTheOtherProxy failed before with "could not decode the request" and pass.

--- a/io/managedpeer/client.go
+++ b/io/managedpeer/client.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 )
 
@@ -124,7 +123,7 @@
 		return eris.Errorf("proxy %s could not decode the request, or not encode the reply", to)
 	}
 
-	return eris.Wrap(cbor.Unmarshal(content, reply), "decode reply")
+	return eris.Wrap(decodeMode.Unmarshal(content, reply), "decode reply")
 }
 
 // begin counts a call and returns the peer that it goes to.
@@ -321,7 +320,7 @@
 
 		if callID == stopCallID {
 			notice := new(stopNotice)
-			if err := cbor.Unmarshal(content, notice); err != nil {
+			if err := decodeMode.Unmarshal(content, notice); err != nil {
 				return
 			}
 
--- a/io/managedpeer/frame.go
+++ b/io/managedpeer/frame.go
@@ -32,6 +32,21 @@
 	knowsStop uint64 = 1 << 63
 )
 
+// decodeMode accepts what callers and servers may send: the line protocol does not restrict the bytes of a text, nor the number of
+// rows, for which the size of the frame is the limit.
+//
+//nolint:gochecknoglobals // The options are constant.
+var decodeMode = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		UTF8: cbor.UTF8DecodeInvalid, MaxArrayElements: maxFrameBytes, MaxMapPairs: maxFrameBytes,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+
+	return mode
+}()
+
 // stopNotice says which calls the server has accepted.
 type stopNotice struct {
 	// LastCall is the highest ID of an accepted call, or zero. IDs rise in the order in which the requests are sent, so that
--- a/io/managedpeer/frame_test.go
+++ b/io/managedpeer/frame_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"almondgrade/io/managedpeer"
 )
@@ -83,3 +85,59 @@
 		assert.Equal(t, 1<<20, strings.Count(reply.Text, "x"))
 	}
 }
+
+// Guards against a statement or a row that is lost between proxies because it is not valid UTF-8: the callers of such
+// statements were told that their outcome is unknown, and the proxy that was called was taken for a lost one.
+func TestTextsThatAreNotUTF8ReachTheOtherProxyUnchanged(t *testing.T) {
+	t.Parallel()
+
+	type request struct {
+		Text      string            `cbor:"1,keyasint"`
+		Variables map[string]string `cbor:"2,keyasint,omitempty"`
+		Rows      []string          `cbor:"3,keyasint,omitempty"`
+	}
+
+	listener, address := listen(t)
+	server := managedpeer.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, received *request) *request {
+		return received
+	})
+
+	defer server.Close()
+
+	peers := newClient(t)
+
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.Map(rapid.SliceOf(rapid.Byte()), func(b []byte) string { return string(b) })
+		sent, reply := &request{Text: text.Draw(t, "text"), Rows: rapid.SliceOf(text).Draw(t, "rows")}, new(request)
+
+		if variables := rapid.MapOf(text, text).Draw(t, "variables"); len(variables) > 0 {
+			sent.Variables = variables
+		}
+
+		if len(sent.Rows) == 0 {
+			sent.Rows = nil
+		}
+
+		require.NoError(t, peers.Call(context.Background(), address, sent, reply))
+		require.Equal(t, sent, reply)
+	})
+}
+
+// Guards against an answer that is refused because it has more rows than the decoder expects.
+func TestManySmallRowsReachTheOtherProxy(t *testing.T) {
+	t.Parallel()
+
+	listener, address := listen(t)
+	server := managedpeer.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, received *[]string) *[]string {
+		return received
+	})
+
+	defer server.Close()
+
+	rows := slices.Repeat([]string{"row"}, 200_000)
+
+	var reply []string
+
+	require.NoError(t, newClient(t).Call(t.Context(), address, rows, &reply))
+	require.Len(t, reply, len(rows))
+}
--- a/io/managedpeer/server.go
+++ b/io/managedpeer/server.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"almondgrade/io/backlog"
 )
 
@@ -58,7 +56,7 @@
 
 		var reply any
 
-		if err := cbor.Unmarshal(content, request); err != nil {
+		if err := decodeMode.Unmarshal(content, request); err != nil {
 			logger.Warn("request of another proxy could not be decoded; it is answered without content", "error", err)
 		} else {
 			reply = run(ctx, request)
