managedproxy: count customers with odd names apart

Two customers whose names differ in white space shared the counters of their limits, a name with a blank or a line break broke the line of a metric, so that a part of the name was read as its value, and a customer named "other" was counted with the rest.

Cause: the names were written into the lines as the configuration has them, or with white space replaced by one character.

Change: counters bear escaped names, which are distinct words.

TestCustomersWithOddNamesAreCountedApart failed before (7 counts for 10 names, lines of 3 and 4 words) and passes.

--- a/core/topology/server.go
+++ b/core/topology/server.go
@@ -1,6 +1,7 @@
 package topology
 
 import (
+	"fmt"
 	"math"
 	"strings"
 	"unicode"
@@ -49,3 +50,19 @@
 	return name != "" && len(name) <= maxNameBytes && utf8.ValidString(name) &&
 		!strings.ContainsFunc(name, func(r rune) bool { return unicode.IsSpace(r) || !unicode.IsPrint(r) })
 }
+
+// EscapeName returns a name as one word of printable ASCII characters. Operators may use any name for customers, so that blanks,
+// control characters and bytes that are not ASCII are escaped, and the escape character, which keeps different names different.
+func EscapeName(name string) string {
+	var escaped strings.Builder
+
+	for _, char := range []byte(name) {
+		if char <= ' ' || char > '~' || char == '%' {
+			fmt.Fprintf(&escaped, "%%%02X", char)
+		} else {
+			escaped.WriteByte(char)
+		}
+	}
+
+	return escaped.String()
+}
--- a/internal/managedproxy/customercounts.go
+++ b/internal/managedproxy/customercounts.go
@@ -7,6 +7,7 @@
 
 	"almondgrade/core/connections"
 	"almondgrade/core/result"
+	"almondgrade/core/topology"
 )
 
 const (
@@ -14,21 +15,25 @@
 	// Configurations change, and counters are never removed.
 	maxCountedCustomers = 64
 	otherCustomers      = "other"
+	// escapedOther is the name under which a customer is counted whose own name is otherCustomers.
+	escapedOther = "%6Fther"
 )
 
 // customerCounts names the counters of customers. It is safe for concurrent use.
 type customerCounts struct {
 	mutex sync.Mutex
-	known map[string]bool
+	// known are the names by customer.
+	known map[string]string
 }
 
-// label returns the name under which a customer is counted: its own for the first maxCountedCustomers.
+// label returns the name under which a customer is counted: its own for the first maxCountedCustomers. It is one word, because
+// white space separates names from values.
 func (c *customerCounts) label(customer string) string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 
-	if c.known[customer] {
-		return customer
+	if label, found := c.known[customer]; found {
+		return label
 	}
 
 	if len(c.known) >= maxCountedCustomers {
@@ -36,12 +41,17 @@
 	}
 
 	if c.known == nil {
-		c.known = make(map[string]bool, maxCountedCustomers)
+		c.known = make(map[string]string, maxCountedCustomers)
 	}
 
-	c.known[customer] = true
+	label := topology.EscapeName(customer)
+	if label == otherCustomers {
+		label = escapedOther
+	}
+
+	c.known[customer] = label
 
-	return customer
+	return label
 }
 
 // labels returns the names under which customers are counted.
@@ -50,8 +60,8 @@
 	defer c.mutex.Unlock()
 
 	names := make([]string, 0, len(c.known)+1)
-	for name := range c.known {
-		names = append(names, name)
+	for _, label := range c.known {
+		names = append(names, label)
 	}
 
 	return append(names, otherCustomers)
--- a/internal/managedproxy/customercounts_test.go
+++ b/internal/managedproxy/customercounts_test.go
@@ -43,3 +43,41 @@
 
 	assert.Equal(t, maxCountedCustomers+1, strings.Count(strings.Join(lines, "\n"), "customer_served."))
 }
+
+// Guards against customers whose names break the lines of the metrics, or are counted as others.
+func TestCustomersWithOddNamesAreCountedApart(t *testing.T) {
+	t.Parallel()
+
+	f := newFixture(t)
+	names := []string{"a b", "a_b", "a  b", "a%20b", "a\nb 7", "a\r\nb", "\xff", "\u2028", "other", "%6Fther"}
+
+	for i, name := range names {
+		for range i + 1 {
+			f.gateway.countForCustomer(name, nil)
+			f.gateway.limits.countersOf(name).admitted.Inc(1)
+		}
+	}
+
+	for i := range 2 * maxCountedCustomers {
+		f.gateway.countForCustomer(fmt.Sprint("customer-", i), nil)
+	}
+
+	served, admitted := make(map[string]bool), make(map[string]bool)
+
+	for _, line := range metrics.Lines(f.gateway.options.Metrics.Registry) {
+		fields := strings.Fields(line)
+		assert.Len(t, fields, 2, "%q", line)
+
+		if strings.HasPrefix(line, "customer_served.") && !strings.Contains(line, ".customer-") && fields[1] != "74" {
+			served[fields[1]] = true
+		}
+
+		if strings.HasPrefix(line, "limit_admitted.") {
+			admitted[fields[1]] = true
+		}
+	}
+
+	// Each name has a count of its own.
+	assert.Len(t, served, len(names))
+	assert.Len(t, admitted, len(names))
+}
--- a/internal/managedproxy/limits.go
+++ b/internal/managedproxy/limits.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -416,12 +415,10 @@
 		return known
 	}
 
-	// White space separates names from values.
-	name := strings.Join(strings.Fields(label), "_")
 	created := &customerCounters{
-		admitted:    l.gateway.options.Metrics.Counter("limit_admitted." + name),
-		overLimit:   l.gateway.options.Metrics.Counter("limit_over." + name),
-		unconfirmed: l.gateway.options.Metrics.Counter("limit_unconfirmed." + name),
+		admitted:    l.gateway.options.Metrics.Counter("limit_admitted." + label),
+		overLimit:   l.gateway.options.Metrics.Counter("limit_over." + label),
+		unconfirmed: l.gateway.options.Metrics.Counter("limit_unconfirmed." + label),
 	}
 	l.counters[label] = created
 
