io/control, internal/coordination: report errors that are not UTF-8

Where a PostgreSQL server writes an error in another encoding than UTF-8, as servers do for logins, a proxy could neither tell control that the server seems dead nor answer control's request to probe it: the call failed with "string field contains invalid UTF-8". A server that refuses logins for lack of room counted as unreachable through that proxy.

Cause: the messages carry the text of the error in protobuf strings, which must be UTF-8.

Change: reasons are made valid before they are sent (result.ValidText). They are read by people only; decisions use the other fields.

Ruled out: the other strings of these services, which come from settings and announcements and are checked by ValidName, or from JSON.

--- a/core/result/error.go
+++ b/core/result/error.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 )
 
 // Error is an error with a result code and a reason.
@@ -39,6 +40,12 @@
 	return e.cause
 }
 
+// ValidText returns a reason as UTF-8, which messages between processes require. A reason may quote a caller or a server whose
+// texts have another encoding; what is not UTF-8 is replaced.
+func ValidText(reason string) string {
+	return strings.ToValidUTF8(reason, "\ufffd")
+}
+
 // CodeOf returns the code of an error, or OK if it has none.
 func CodeOf(err error) Code {
 	var failure *Error
--- a/internal/controller/announce.go
+++ b/internal/controller/announce.go
@@ -53,7 +53,7 @@
 		code := result.CodeOf(err)
 		c.incrementCounter(code.Describe().Name)
 
-		return &controlpb.AnnounceReply{Code: uint32(code), Reason: err.Error()}
+		return &controlpb.AnnounceReply{Code: uint32(code), Reason: result.ValidText(err.Error())}
 	}
 
 	return control.NewAnnounceReply(c.view(), server)
--- a/internal/controller/operate.go
+++ b/internal/controller/operate.go
@@ -40,7 +40,7 @@
 	}
 
 	reply := &controlpb.ChangeReply{
-		Code: uint32(answer.Code), Reason: answer.Reason, Number: answer.Number, Author: answer.Author,
+		Code: uint32(answer.Code), Reason: result.ValidText(answer.Reason), Number: answer.Number, Author: answer.Author,
 		Difference: difference, Repeated: answer.Repeated,
 	}
 
@@ -60,7 +60,7 @@
 func (c *Controller) refuseChange(code result.Code, reason string) *controlpb.ChangeReply {
 	c.incrementCounter(code.Describe().Name)
 
-	return &controlpb.ChangeReply{Code: uint32(code), Reason: reason}
+	return &controlpb.ChangeReply{Code: uint32(code), Reason: result.ValidText(reason)}
 }
 
 // Status implements the Control service. A quorum confirms that this process leads before it answers: a process that is
@@ -120,5 +120,5 @@
 	c.options.Logger.Info("drain", "server", request.GetServer(), "proxy", request.GetProxy(),
 		"undo", request.GetUndo(), "code", answer.Code)
 
-	return &controlpb.DrainReply{Code: uint32(answer.Code), Reason: answer.Reason}, nil
+	return &controlpb.DrainReply{Code: uint32(answer.Code), Reason: result.ValidText(answer.Reason)}, nil
 }
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -158,13 +158,13 @@
 	conn, err := options.Open(ctx, server,
 		coordinator.ApplicationName(options.Name, options.Instance, coordinator.KindProbe))
 	if err != nil {
-		return &peerpb.ProbeReply{Reason: err.Error(), Reachable: backend.IsTooManyConnections(err)}, nil
+		return &peerpb.ProbeReply{Reason: result.ValidText(err.Error()), Reachable: backend.IsTooManyConnections(err)}, nil
 	}
 	defer conn.Close()
 
 	seen, err := conn.Observe(ctx)
 	if err != nil {
-		return &peerpb.ProbeReply{Reason: err.Error()}, nil
+		return &peerpb.ProbeReply{Reason: result.ValidText(err.Error())}, nil
 	}
 
 	reply := &peerpb.ProbeReply{Reachable: true, Recovery: seen.InRecovery, Term: uint64(seen.Attachment.Term)}
@@ -197,10 +197,10 @@
 
 	var failed *result.Error
 	if errors.As(err, &failed) {
-		return uint32(failed.Code), failed.Reason
+		return uint32(failed.Code), result.ValidText(failed.Reason)
 	}
 
-	return uint32(result.NoPrimary), err.Error()
+	return uint32(result.NoPrimary), result.ValidText(err.Error())
 }
 
 func kindOf(kind peerpb.Kind) permit.Kind {
--- a/io/control/caller.go
+++ b/io/control/caller.go
@@ -56,6 +56,8 @@
 
 // Suspect reports to control that a backend server can't be reached.
 func (c *LeaderClient) Suspect(ctx context.Context, suspicion *controlpb.Suspicion) (*controlpb.SuspectReply, error) {
+	suspicion.Reason = result.ValidText(suspicion.GetReason())
+
 	return call(ctx, c, suspicion, controlpb.ControlClient.Suspect)
 }
 
