io/backend: split a replica's setting outside of values only

A replica whose primary_conninfo has a blank in a password or user could be taken for one that follows another server, at another port or in another term, and a setting with blanks around "=" for one without a primary.

Cause: ParseConninfo split the setting at white space, also inside of quoted values, which this system itself writes with the password of the settings.

Change: it reads the format as servers do, with quotes, backslashes and blanks around "=". A setting that servers refuse has no attachment.

TestConninfoKeepsItsFieldsWhateverThePassword (random users and passwords; failed before with the password " port=1 ") and TestConninfoOfOtherForms failed before and pass, the first with 20,000 random settings.

--- a/io/backend/follow.go
+++ b/io/backend/follow.go
@@ -74,9 +74,17 @@
 		port   uint64
 	)
 
-	for field := range strings.FieldsSeq(text) {
-		key, value, _ := strings.Cut(field, "=")
-		value = strings.Trim(value, "'")
+	for rest := text; ; {
+		key, value, behind, found := cutConninfoField(rest)
+		if !found {
+			if strings.TrimLeft(behind, conninfoSpace) != "" {
+				return Attachment{} // The server refuses such a setting as well.
+			}
+
+			break
+		}
+
+		rest = behind
 
 		switch key {
 		case "application_name":
@@ -97,6 +105,46 @@
 	return follow
 }
 
+// conninfoSpace is the white space of a connection string.
+const conninfoSpace = " \t\n\v\f\r"
+
+// cutConninfoField returns the first key and value of a connection string and what is behind them. A value is in quotes or ends at
+// white space, and a backslash in it stands for the character after it. If there is no field, behind is the text.
+func cutConninfoField(text string) (key, value, behind string, found bool) {
+	key, behind, found = strings.Cut(text, "=")
+	key, behind = strings.Trim(key, conninfoSpace), strings.TrimLeft(behind, conninfoSpace)
+
+	if !found || key == "" || strings.ContainsAny(key, conninfoSpace) {
+		return "", "", text, false
+	}
+
+	ends := conninfoSpace
+
+	quoted := strings.HasPrefix(behind, "'")
+	if quoted {
+		behind, ends = behind[1:], "'"
+	}
+
+	var unescaped strings.Builder
+
+	for i := 0; i < len(behind); i++ {
+		switch {
+		case strings.IndexByte(ends, behind[i]) >= 0:
+			return key, unescaped.String(), behind[i+1:], true
+		case behind[i] == '\\' && i+1 < len(behind):
+			i++
+		}
+
+		unescaped.WriteByte(behind[i])
+	}
+
+	if quoted {
+		return "", "", text, false
+	}
+
+	return key, unescaped.String(), "", true
+}
+
 // quoteConninfoValue quotes a value of a connection string.
 func quoteConninfoValue(value string) string {
 	return "'" + strings.NewReplacer(`\`, `\\`, `'`, `\'`).Replace(value) + "'"
