--- a/io/managedpeer/frame_test.go
+++ b/io/managedpeer/frame_test.go
@@ -141,3 +141,63 @@
 	require.NoError(t, newClient(t).Call(t.Context(), address, rows, &reply))
 	require.Len(t, reply, len(rows))
 }
+
+// Guards against a reply that is taken for the one to another call: replies that come twice, late, or to no call.
+func TestRepliesThatBelongToNoCallAreDropped(t *testing.T) {
+	t.Parallel()
+
+	const callCount = 200
+
+	listener, address := listen(t)
+	dropped := make(chan struct{})
+
+	go func() {
+		defer close(dropped)
+
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+
+		defer conn.Close()
+
+		send := func(callID uint64, text string) {
+			content, _ := cbor.Marshal(&message{text})
+			frame := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(nil, uint32(len(content)+8)), callID)
+			_, _ = conn.Write(append(frame, content...))
+		}
+
+		for former := uint64(1); ; {
+			var header [12]byte
+			if _, err := io.ReadFull(conn, header[:]); err != nil {
+				return
+			}
+
+			content, received := make([]byte, binary.BigEndian.Uint32(header[:])-8), new(message)
+			if _, err := io.ReadFull(conn, content); err != nil || cbor.Unmarshal(content, received) != nil {
+				return
+			}
+
+			callID := binary.BigEndian.Uint64(header[4:])
+
+			send(former, "to the former call")
+			send(callID+1, "to the next call")
+			send(callID, received.Text)
+			send(callID, "again")
+
+			former = callID
+		}
+	}()
+
+	peers := newClient(t)
+
+	for i := range callCount {
+		sent, reply := &message{strings.Repeat("x", i)}, new(message)
+		require.NoError(t, peers.Call(t.Context(), address, sent, reply))
+		require.Equal(t, sent, reply)
+	}
+
+	peers.Close()
+	require.NoError(t, listener.Close())
+	<-dropped
+}
