io/caller: keep dashes in the values of options

Cause: dashes were replaced in the whole of a long option, where servers replace them in its name only. Names behind -c, where servers replace them as well, kept theirs.

--- a/io/caller/accept.go
+++ b/io/caller/accept.go
@@ -278,7 +278,7 @@
 		case strings.HasPrefix(field, "-c"):
 			field = field[2:]
 		case strings.HasPrefix(field, "--"):
-			field = strings.ReplaceAll(field[2:], "-", "_")
+			field = field[2:]
 		default:
 			return result.New(result.NotSupported, "startup option %.40q is not of the form -c NAME=VALUE", field)
 		}
@@ -288,7 +288,8 @@
 			return result.New(result.Protocol, "startup option %.40q has no value", field)
 		}
 
-		parameters[name] = value
+		// Servers accept dashes in names only.
+		parameters[strings.ReplaceAll(name, "-", "_")] = value
 	}
 
 	return nil
