internal/proxy: resolve names of pools and groups with dots

A caller could not connect to a pool or group whose name has a dot, which settings accept, and could get a group of another pool: "shop.eu" always meant the group eu of the pool shop, also where the pool shop.eu is configured.

Cause: the database name was split at its first dot.

Change: each way to split it is tried, beside the whole as the name of a pool. A name that fits two pools is refused with a reason that names both.

--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -9,7 +9,7 @@
 	"io"
 	"log/slog"
 	"net"
-	"strings"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -516,29 +516,46 @@
 	group string
 }
 
-// findTarget resolves a database name of the form POOL or POOL.GROUP.
+// findTarget resolves a database name of the form POOL or POOL.GROUP. Both names may have dots. A name that fits two pools is refused,
+// so that no caller gets the one that it does not mean.
 func findTarget(view *registry.View, database string) (target, error) {
-	name, group, named := strings.Cut(database, ".")
+	found, err := soleTarget(view, database)
 
-	pool, found := view.Running.Pools[name]
-	if !found {
-		return target{}, result.New(result.PoolUnknown, "there is no pool %.60q", name)
-	}
-
-	if !named {
-		if len(pool.Groups) != 1 {
-			return target{}, result.New(result.PoolUnknown,
-				"pool %q has %d groups; connect to database %s.GROUP", name, len(pool.Groups), name)
+	for at, char := range database {
+		if char != '.' {
+			continue
 		}
 
-		return target{pool: name, group: pool.Groups[0]}, nil
-	}
+		named := target{pool: database[:at], group: database[at+1:]}
+		pool, isPool := view.Running.Pools[named.pool]
 
-	for _, known := range pool.Groups {
-		if known == group {
-			return target{pool: name, group: group}, nil
+		switch {
+		case !isPool:
+		case !slices.Contains(pool.Groups, named.group):
+			if found == (target{}) {
+				err = result.New(result.PoolUnknown, "pool %q has no group %.60q", named.pool, named.group)
+			}
+		case found != (target{}):
+			return target{}, result.New(result.PoolUnknown, "database %.60q may be group %q of pool %q or group %q of pool %q", database,
+				found.group, found.pool, named.group, named.pool)
+		default:
+			found, err = named, nil
 		}
 	}
 
-	return target{}, result.New(result.PoolUnknown, "pool %q has no group %.60q", name, group)
+	return found, err
+}
+
+// soleTarget resolves a database name that names a pool with one group.
+func soleTarget(view *registry.View, database string) (target, error) {
+	pool, found := view.Running.Pools[database]
+
+	switch {
+	case !found:
+		return target{}, result.New(result.PoolUnknown, "there is no pool %.60q", database)
+	case len(pool.Groups) != 1:
+		return target{}, result.New(result.PoolUnknown, "pool %q has %d groups; connect to database %s.GROUP", database, len(pool.Groups), database)
+	}
+
+	return target{pool: database, group: pool.Groups[0]}, nil
 }
