internal/daemon: read a password as proxies do

Where the password of the backend servers begins or ends with white space, control and the monitoring of a proxy could not log in, while callers' connections could.

Cause: the same file was read in two ways; one removed all white space at both ends, the other line endings at the end of the file only.

Change: both use backend.ReadPassword, which does the latter.

--- a/internal/daemon/login.go
+++ b/internal/daemon/login.go
@@ -1,9 +1,6 @@
 package daemon
 
 import (
-	"os"
-	"strings"
-
 	"almondgrade/core/settings"
 	"almondgrade/io/backend"
 )
@@ -14,8 +11,8 @@
 	login := backend.Login{User: running.Backend.User}
 
 	if running.Backend.PasswordFile != "" {
-		if secret, err := os.ReadFile(running.Backend.PasswordFile); err == nil {
-			login.Password = strings.TrimSpace(string(secret))
+		if password, err := backend.ReadPassword(running.Backend.PasswordFile); err == nil {
+			login.Password = password
 		}
 	}
 
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
-	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -185,12 +183,12 @@
 
 	if account.PasswordFile != "" {
 		// The file is read for each connection, so that a new password takes effect without a restart.
-		secret, err := os.ReadFile(account.PasswordFile)
+		password, err := backend.ReadPassword(account.PasswordFile)
 		if err != nil {
 			return login, err
 		}
 
-		login.Password = strings.TrimRight(string(secret), "\r\n")
+		login.Password = password
 	}
 
 	return login, nil
--- a/io/backend/admin.go
+++ b/io/backend/admin.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -70,6 +71,13 @@
 	fencePollPeriod = 5 * time.Millisecond
 )
 
+// ReadPassword reads a password from a file. Line endings at the end of the file are not part of it, all other bytes are.
+func ReadPassword(file string) (string, error) {
+	secret, err := os.ReadFile(file)
+
+	return strings.TrimRight(string(secret), "\r\n"), eris.Wrap(err, "read password")
+}
+
 // OpenAdmin connects to a backend server. The application name identifies the connection to the server.
 func OpenAdmin(ctx context.Context, address netip.AddrPort, login Login, application string) (*Admin, error) {
 	config, err := pgconn.ParseConfig("sslmode=disable")
