core/statement, internal/proxy: refuse settings that change how texts are read

A caller could turn standard_conforming_strings off, or choose an encoding such as SJIS or GBK, at login, in its options or by set_config. Servers then end a string elsewhere than the proxy, which decides from its own reading where a statement ends, whether it writes and whether it ends a transaction: 'a\'; COMMIT; --' is one string for such a server and a COMMIT for the proxy.

Cause: only SET standard_conforming_strings was refused. The encodings have characters whose second byte is that of a backslash.

Change: ChangesReading finds these settings wherever a caller sets them by constants, and they are refused with 1206 before they reach a server.

TestSettingsThatChangeHowTextsAreRead is new. Not found: a value that is computed by the statement, or set for a role, database or function on the server.

--- a/core/statement/doc.go
+++ b/core/statement/doc.go
@@ -5,7 +5,8 @@
 // an error sends a read to the primary rather than a write to a replica. If a statement that counts as a read writes
 // nevertheless, through a function, the backend server refuses it, because it runs reads in read-only mode.
 //
-// The lexer assumes that standard_conforming_strings is on, which is the default since PostgreSQL 9.1.
+// The lexer assumes that standard_conforming_strings is on, which is the default since PostgreSQL 9.1, and that no character of the
+// encoding has a second byte that is a backslash. ChangesReading finds settings with which this is not so.
 //
 // # Usage
 //
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -61,6 +61,8 @@
 	PinsConnection bool
 	// Chain is true for COMMIT AND CHAIN and ROLLBACK AND CHAIN.
 	Chain bool
+	// ChangesReading is true if the statement makes servers split later texts otherwise than this package does.
+	ChangesReading bool
 }
 
 // ParameterPrefix is the prefix of the parameters that the proxy itself implements.
@@ -108,6 +110,7 @@
 				first, last := tokens[0], tokens[len(tokens)-1]
 				statement := classifyTokens(tokens, text)
 				statement.Text = text[first.start:last.end]
+				statement.ChangesReading = changesReading(&statement, tokens)
 				statements = append(statements, statement)
 			}
 
--- a/core/statement/statement_test.go
+++ b/core/statement/statement_test.go
@@ -210,3 +210,28 @@
 		statement.HighestParameter(text)
 	})
 }
+
+// Guards against texts that servers split elsewhere than the proxy, because a setting or an encoding gives a backslash another
+// meaning, and against other settings that are taken for such ones.
+func TestSettingsThatChangeHowTextsAreRead(t *testing.T) {
+	t.Parallel()
+
+	for text, want := range map[string]bool{
+		"SET standard_conforming_strings = off": true, "SET LOCAL Standard_Conforming_Strings TO 'f'": true,
+		`SET "STANDARD_CONFORMING_STRINGS" = 0`: true, "SET standard_conforming_strings = on": false, "SET standard_conforming_strings TO 'TRUE'": false,
+		"SET client_encoding = 'SJIS'": true, "SET NAMES 'win-936'": true, "SET client_encoding TO gb18030": true,
+		"SET client_encoding = 'UTF8'": false, "SET NAMES 'LATIN1'": false, "SET client_encoding = 'EUC_JP'": false, "SET NAMES DEFAULT": false,
+		"SELECT set_config('standard_conforming_strings', 'off', false)":          true,
+		"WITH x AS (SELECT set_config('CLIENT_ENCODING', 'Big5', true)) SELECT 1": true,
+		"SELECT set_config('standard_conforming_strings', $1, false)":             true,
+		"SELECT set_config('standard_conforming_strings', 'on', false)":           false,
+		"SELECT set_config('search_path', 'off', false)":                          false,
+		"SELECT 'set_config(''standard_conforming_strings'', ''off'', false)'":    false,
+		"SET search_path = 'sjis'":                                                false,
+		"RESET standard_conforming_strings":                                       false,
+	} {
+		found := statement.Classify(text)
+		require.Len(t, found, 1, text)
+		assert.Equal(t, want, found[0].ChangesReading, text)
+	}
+}
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -172,6 +172,10 @@
 		{"damaged token", nil, nil, "SET almondgrade.token = 'AAAAAAAA'", "1204"},
 		{"proxy statement after another one", nil, nil, "INSERT INTO t VALUES (1); SHOW almondgrade.token", "1206"},
 		{"non-standard strings", nil, nil, "SET standard_conforming_strings = off", "1206"},
+		{"non-standard strings, quoted name", nil, nil, `SET "Standard_Conforming_Strings" TO 'off'`, "1206"},
+		{"non-standard strings by a function", nil, nil, "SELECT set_config('Standard_Conforming_Strings', 'off', false)", "1206"},
+		{"encoding with backslashes in characters", nil, nil, "SET NAMES 'Shift_JIS'", "1206"},
+		{"encoding with backslashes in characters by a function", nil, nil, "SELECT pg_catalog.set_config('client_encoding', 'gbk', true)", "1206"},
 	}
 
 	for _, test := range tests {
@@ -216,6 +220,20 @@
 	assert.Equal(t, "1205", codeOf(err))
 }
 
+// Guards against logins with settings for which the proxy splits texts otherwise than servers do.
+func TestLoginsThatChangeHowTextsAreReadAreRefused(t *testing.T) {
+	c := newCluster(t, options{replicas: 1})
+
+	for _, setting := range []string{
+		"&standard_conforming_strings=off", "&options=-c%20Standard-Conforming-Strings%3Doff", "&client_encoding=BIG5",
+	} {
+		err := connectError(t, c.url("p1", setting))
+		assert.Equal(t, "1206", codeOf(err), "%s: %v", setting, err)
+	}
+
+	c.connect("p1", "&standard_conforming_strings=on&client_encoding=UTF8")
+}
+
 // Guards against malformed messages of one caller that stop the proxy or disturb other callers.
 func TestBrokenCallers(t *testing.T) {
 	c := newCluster(t, options{replicas: 1})
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -89,6 +89,8 @@
 		case stmt.Kind == statement.Set && stmt.Name == "standard_conforming_strings":
 			// The lexer relies on its default.
 			return result.New(result.NotSupported, "standard_conforming_strings can't be changed")
+		case stmt.ChangesReading:
+			return result.New(result.NotSupported, "%.60q changes how texts are split into statements", stmt.Text)
 		}
 	}
 
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -318,6 +318,10 @@
 			continue
 		}
 
+		if statement.ChangesReading(name, value) {
+			return result.New(result.NotSupported, "%s = %.40q changes how texts are split into statements", name, value)
+		}
+
 		s.parameters.setAtStartup(name, quoteLiteral(value))
 
 		for known := range reported {
