core/statement: keep the prefix of a string in a value

A session that had set a parameter to E'a\\b', or to a string with another prefix, had another value on its next backend connection, or could not be set up there.

Cause: the token of a string with a prefix began behind the prefix, and the text of the value, which is sent to further connections, begins with its token.

TestValuesOfSettingsKeepTheirText failed before for each prefix and passes.

--- a/core/statement/lexer.go
+++ b/core/statement/lexer.go
@@ -67,9 +67,9 @@
 
 		return token{kind: tokenSemicolon, text: ";", start: start, end: l.offset}
 	case char == '\'':
-		return l.readQuoted('\'', tokenString, false)
+		return l.readQuoted(0, tokenString, false)
 	case char == '"':
-		return l.readQuoted('"', tokenQuoted, false)
+		return l.readQuoted(0, tokenQuoted, false)
 	case char == '$':
 		return l.readDollar()
 	case isWordStart(char):
@@ -139,10 +139,13 @@
 	return false
 }
 
-// readQuoted reads a quoted constant or identifier, in which a doubled quote stands for a quote.
-func (l *lexer) readQuoted(quote byte, kind tokenKind, backslash bool) token {
+// readQuoted reads a quoted constant or identifier, in which a doubled quote stands for a quote. It begins with a prefix of the
+// given number of bytes.
+func (l *lexer) readQuoted(prefix int, kind tokenKind, backslash bool) token {
 	start := l.offset
-	at := start + 1
+	quote := l.text[start+prefix]
+	content := start + prefix + 1
+	at := content
 
 	for at < len(l.text) {
 		switch {
@@ -153,7 +156,7 @@
 		case at+1 < len(l.text) && l.text[at+1] == quote:
 			at += 2
 		default:
-			text := l.text[start+1 : at]
+			text := l.text[content:at]
 			l.offset = at + 1
 
 			if strings.IndexByte(text, quote) >= 0 {
@@ -204,26 +207,18 @@
 	if len(rest) > 1 && rest[1] == '\'' {
 		switch rest[0] {
 		case 'e', 'E':
-			l.offset++
-
-			return l.readQuoted('\'', tokenString, true)
+			return l.readQuoted(1, tokenString, true)
 		case 'b', 'B', 'x', 'X', 'n', 'N':
-			l.offset++
-
-			return l.readQuoted('\'', tokenString, false)
+			return l.readQuoted(1, tokenString, false)
 		}
 	}
 
 	if len(rest) > 2 && (rest[0] == 'u' || rest[0] == 'U') && rest[1] == '&' {
 		switch rest[2] {
 		case '\'':
-			l.offset += 2
-
-			return l.readQuoted('\'', tokenString, false)
+			return l.readQuoted(len("U&"), tokenString, false)
 		case '"':
-			l.offset += 2
-
-			return l.readQuoted('"', tokenQuoted, false)
+			return l.readQuoted(len("U&"), tokenQuoted, false)
 		}
 	}
 
--- a/core/statement/statement_test.go
+++ b/core/statement/statement_test.go
@@ -235,3 +235,16 @@
 		assert.Equal(t, want, found[0].ChangesReading, text)
 	}
 }
+
+// Guards against settings that get another value on the next connection of their session, because the prefix of a string
+// is lost.
+func TestValuesOfSettingsKeepTheirText(t *testing.T) {
+	t.Parallel()
+
+	for _, value := range []string{`E'a\\b'`, `e'a\'b'`, `U&'\0061'`, `U&"\0061"`, `'a', E'b\n'`, "$x$a$x$", "'a' , \"B\"", "-5", "N'a'"} {
+		found := statement.Classify("SET a.b TO " + value + " ; SELECT 1")
+		require.Len(t, found, 2, value)
+		assert.Equal(t, value, found[0].Value)
+		assert.Equal(t, "SET a.b TO "+value, found[0].Text)
+	}
+}
