--- a/core/pairing/tracker.go
+++ b/core/pairing/tracker.go
@@ -80,9 +80,10 @@
 	// signsOthers is true if the server signs answers to commands that are not signed, and signsNone if it does not. The first
 	// such answer shows it. Such signatures need not be unique.
 	signsOthers, signsNone bool
-	// distrusts is true if the server is known to repeat answers. uncertain is then true if an answer without a signature was
-	// taken that may be a repetition, so that the answer to its command may still arrive.
+	// distrusts is true if the server is known to repeat answers.
 	distrusts bool
+	// uncertain is true if an answer without a signature was taken that may be a repetition, so that the answer to its command may
+	// still arrive.
 	uncertain bool
 }
 
@@ -131,7 +132,7 @@
 	t.unresolved = t.unresolved && !command.Resolves
 
 	if repeats {
-		t.uncertain = t.distrusts
+		t.uncertain = true
 
 		return Ambiguous
 	}
@@ -153,8 +154,8 @@
 	}
 }
 
-// Distrust tells the tracker that the server is known to repeat answers. From then on a failure behind an ambiguous success is
-// ambiguous, too.
+// Distrust tells the tracker that the server is known to repeat answers. From then on a failure at another position than the
+// one that it equals otherwise is ambiguous, too.
 func (t *Tracker[S, P]) Distrust() {
 	t.distrusts = true
 }
--- a/core/pairing/tracker_test.go
+++ b/core/pairing/tracker_test.go
@@ -103,6 +103,10 @@
 		{"repeated success with the same state", []step{{set, unsigned(idle), pairing.Genuine}, {set, unsigned(idle), pairing.Ambiguous}}},
 		{"repeated greeting", []step{{read, answer{State: idle}, pairing.Repeated}, {set, answer{State: idle}, pairing.Repeated}}},
 		{"greeting in another state", []step{{read, answer{State: open}, pairing.Invalid}}},
+		{"first refusal behind a success that may be repeated", []step{
+			{set, unsigned(idle), pairing.Genuine}, {set, unsigned(idle), pairing.Ambiguous}, {read, refused("BUSY"), pairing.Ambiguous},
+			{check, unsigned(idle), pairing.Ambiguous}, {read, signed("1"), pairing.Genuine}, {read, refused("LAGGING"), pairing.Genuine},
+		}},
 		{"server that signs everything alike", []step{
 			{set, signed("-x"), pairing.Genuine}, {set, signed("-x"), pairing.Ambiguous}, {read, signed("-x"), pairing.Repeated},
 			{read, signed("1"), pairing.Genuine},
@@ -170,6 +174,7 @@
 
 	require.Equal(t, pairing.Ambiguous, tracker.Judge(began, read, refused("BUSY")))
 	require.Equal(t, pairing.Ambiguous, tracker.Judge(began, set, unsigned(idle)))
+	require.Equal(t, pairing.Genuine, tracker.Judge(began, read, signed("1")))
 
 	for i := range 3 {
 		require.Equal(t, pairing.Genuine, tracker.Judge(began, read, refused("LAGGING 4."+strconv.Itoa(i))))
--- a/io/managedpeer/frame_test.go
+++ b/io/managedpeer/frame_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"almondgrade/io/managedpeer"
 )
@@ -83,3 +85,119 @@
 		assert.Equal(t, 1<<20, strings.Count(reply.Text, "x"))
 	}
 }
+
+// Guards against a statement or a row that is lost between proxies because it is not valid UTF-8: the callers of such
+// statements were told that their outcome is unknown, and the proxy that was called was taken for a lost one.
+func TestTextsThatAreNotUTF8ReachTheOtherProxyUnchanged(t *testing.T) {
+	t.Parallel()
+
+	type request struct {
+		Text      string            `cbor:"1,keyasint"`
+		Variables map[string]string `cbor:"2,keyasint,omitempty"`
+		Rows      []string          `cbor:"3,keyasint,omitempty"`
+	}
+
+	listener, address := listen(t)
+	server := managedpeer.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, received *request) *request {
+		return received
+	})
+
+	defer server.Close()
+
+	peers := newClient(t)
+
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.Map(rapid.SliceOf(rapid.Byte()), func(b []byte) string { return string(b) })
+		sent, reply := &request{Text: text.Draw(t, "text"), Rows: rapid.SliceOf(text).Draw(t, "rows")}, new(request)
+
+		if variables := rapid.MapOf(text, text).Draw(t, "variables"); len(variables) > 0 {
+			sent.Variables = variables
+		}
+
+		if len(sent.Rows) == 0 {
+			sent.Rows = nil
+		}
+
+		require.NoError(t, peers.Call(context.Background(), address, sent, reply))
+		require.Equal(t, sent, reply)
+	})
+}
+
+// Guards against an answer that is refused because it has more rows than the decoder expects.
+func TestManySmallRowsReachTheOtherProxy(t *testing.T) {
+	t.Parallel()
+
+	listener, address := listen(t)
+	server := managedpeer.Serve(listener, slog.New(slog.DiscardHandler), func(_ context.Context, received *[]string) *[]string {
+		return received
+	})
+
+	defer server.Close()
+
+	rows := slices.Repeat([]string{"row"}, 200_000)
+
+	var reply []string
+
+	require.NoError(t, newClient(t).Call(t.Context(), address, rows, &reply))
+	require.Len(t, reply, len(rows))
+}
+
+// Guards against a reply that is taken for the one to another call: replies that come twice, late, or to no call.
+func TestRepliesThatBelongToNoCallAreDropped(t *testing.T) {
+	t.Parallel()
+
+	const callCount = 200
+
+	listener, address := listen(t)
+	dropped := make(chan struct{})
+
+	go func() {
+		defer close(dropped)
+
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+
+		defer conn.Close()
+
+		send := func(callID uint64, text string) {
+			content, _ := cbor.Marshal(&message{text})
+			frame := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(nil, uint32(len(content)+8)), callID)
+			_, _ = conn.Write(append(frame, content...))
+		}
+
+		for former := uint64(1); ; {
+			var header [12]byte
+			if _, err := io.ReadFull(conn, header[:]); err != nil {
+				return
+			}
+
+			content, received := make([]byte, binary.BigEndian.Uint32(header[:])-8), new(message)
+			if _, err := io.ReadFull(conn, content); err != nil || cbor.Unmarshal(content, received) != nil {
+				return
+			}
+
+			callID := binary.BigEndian.Uint64(header[4:])
+
+			send(former, "to the former call")
+			send(callID+1, "to the next call")
+			send(callID, received.Text)
+			send(callID, "again")
+
+			former = callID
+		}
+	}()
+
+	peers := newClient(t)
+
+	for i := range callCount {
+		sent, reply := &message{strings.Repeat("x", i)}, new(message)
+		require.NoError(t, peers.Call(t.Context(), address, sent, reply))
+		require.Equal(t, sent, reply)
+	}
+
+	peers.Close()
+	require.NoError(t, listener.Close())
+	<-dropped
+}
