internal/proxy: keep prepared statements unchanged until a batch is answered

Callers saw "prepared statement agp_... already exists" (42P05) for a read that prepares its statement, after the backend connection was lost behind ParseComplete and the proxy ran the read again.

Cause: the exchange recorded the caller's statement when ParseComplete arrived. The second attempt found the name in use and sent the duplicate on purpose, so that the server would report it.

Change: the changes are collected and applied when the answer is complete, or when the caller has received part of it. This also removes a write to the map beside the goroutine that forwards an open batch.

Ruled out: undoing the change on a failure, because a duplicate name has to be found again as it was before.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -59,6 +59,8 @@
 	committed bool
 	// settingsUncertain is true if it is unknown whether a change of parameters is in force on the connection.
 	settingsUncertain bool
+	// preparedChanges are the steps of the batch that have prepared or deallocated a statement of the caller.
+	preparedChanges []step
 	// needsConfirmation is true once the end of a statement has been held back.
 	needsConfirmation bool
 	// retrySQLState is the SQLSTATE of an error that a retry may avoid, retryError the error itself.
@@ -404,16 +406,25 @@
 		return x.conn.SkipBody()
 	}
 
-	switch {
-	case completed.kind == stepParse && completed.statement != nil:
-		x.session.prepared[completed.name] = completed.statement
-	case completed.kind == stepClose && completed.deallocates:
-		delete(x.session.prepared, completed.name)
+	if completed.kind == stepParse && completed.statement != nil || completed.kind == stepClose && completed.deallocates {
+		x.preparedChanges = append(x.preparedChanges, *completed)
 	}
 
 	return x.forwardMessage()
 }
 
+// applyPreparedChanges changes the session's prepared statements as the answer says. Another attempt of a batch must find
+// them unchanged, so they change only once the caller gets the answer.
+func (x *exchange) applyPreparedChanges() {
+	for i := range x.preparedChanges {
+		if changed := &x.preparedChanges[i]; changed.kind == stepParse {
+			x.session.prepared[changed.name] = changed.statement
+		} else {
+			delete(x.session.prepared, changed.name)
+		}
+	}
+}
+
 // nextStatement returns the statement of a simple query to which the current message belongs.
 func (x *exchange) nextStatement() *statement.Statement {
 	if x.plan != nil || x.completedStatements >= len(x.request.statements) {
@@ -590,6 +601,10 @@
 	}
 
 	answered := !x.session.caller.Rewind(x.answerStart)
+	if answered {
+		x.applyPreparedChanges()
+	}
+
 	failed := &failure{err: err, sent: true, answered: answered, server: x.lease.server, permanent: x.forwarder != nil}
 
 	x.session.mu.Lock()
@@ -619,6 +634,7 @@
 		}
 	}
 
+	x.applyPreparedChanges()
 	x.updateConnState(status)
 
 	s.status = status
--- a/internal/proxy/helpers_test.go
+++ b/internal/proxy/helpers_test.go
@@ -77,6 +77,8 @@
 	proxies     []string
 	// scripts are scripted servers to use instead of the stand-ins.
 	scripts []*scriptedServer
+	// relay returns the address at which the proxies reach a stand-in, if it is set.
+	relay func(server netip.AddrPort) netip.AddrPort
 }
 
 func testContext(t testing.TB) context.Context {
@@ -158,7 +160,13 @@
 		}
 
 		c.members, c.admins = append(c.members, member), append(c.admins, admin)
-		c.addServer(view, &group, o, i, member.Addr())
+
+		address := member.Addr()
+		if o.relay != nil {
+			address = o.relay(address)
+		}
+
+		c.addServer(view, &group, o, i, address)
 	}
 
 	c.adminMutexes = make([]sync.Mutex, len(c.slots))
