io/backend, internal/proxy: end each exchange with a marker

Callers got rows of another request, the refusal of a request that had been refused before for a write that ran, and success for a write that was refused; after that, every later answer on the pooled connection was the one before.

Cause: after a server or a network path had sent an answer a second time, the proxy took the next answer up to ReadyForQuery for that of the next request. The look at the socket before a connection is reused does not see a copy that comes after the statement was sent, nor one within a transaction.

Change: each request is followed by a marker, 1 to 16 Close messages for a name that does not exist and Sync, written together with it. The answer counts only if the answer to the marker follows directly with the same transaction status. Otherwise the connection is closed: a write has an unknown outcome, a read runs elsewhere. Statements that the proxy sends itself are treated alike. The scripted servers of the tests now answer Close and Sync.

Ruled out: a look at the socket before each statement, which costs a system call and misses later copies; a Parse whose parameter types Describe echoes, which is unique but counts as a transaction and replaces the query in pg_stat_activity; a SELECT of a number, which runs a statement and fails in a failed transaction; one Sync, which does not show that the answer was repeated with it.

--- a/internal/proxy/batch.go
+++ b/internal/proxy/batch.go
@@ -41,8 +41,6 @@
 	sharedPrefix = "agp_"
 	// sharedDigestBytes is the length of the digest in such a name; a collision would run another caller's statement.
 	sharedDigestBytes = 16
-	// unusedName is a name that no statement and no portal has. Closing it has no effect except for the answer.
-	unusedName = "agp_nothing"
 )
 
 // newPrepared parses the rest of a Parse message after the statement's name.
@@ -321,7 +319,7 @@
 	if found != nil && p.beginSent {
 		if stmt := found.firstStatement(); stmt != nil && stmt.Kind == statement.Begin {
 			p.beginSent = false
-			p.conn.SendRaw('C', nameAndBody("P"+unusedName, nil))
+			p.conn.SendRaw('C', nameAndBody("P"+backend.UnusedName, nil))
 			p.steps = append(p.steps, step{kind: stepExecute, statement: found, replacementTag: tagBegin})
 
 			return nil
@@ -347,7 +345,7 @@
 	if body[0] == 'S' {
 		// The connection keeps the statement, because other sessions may use it.
 		p.statements[name] = nil
-		body = nameAndBody("S"+unusedName, nil)
+		body = nameAndBody("S"+backend.UnusedName, nil)
 	}
 
 	p.conn.SendRaw('C', body)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -199,6 +199,11 @@
 		return 0, err
 	}
 
+	markerSent := x.request.isComplete() && !x.request.copiesIn()
+	if markerSent {
+		x.conn.SendMarker()
+	}
+
 	if err := x.sendRequest(); err != nil {
 		return 0, err
 	}
@@ -229,9 +234,34 @@
 		}
 	}
 
+	if err == nil {
+		err = x.readMarker(markerSent)
+	}
+
 	return status, err
 }
 
+// readMarker reads the answer to the marker of the exchange, before which the answer is not certain to belong to the
+// request. A marker that was not sent with the request is sent first: the server takes nothing but the caller's data while
+// it waits for them.
+func (x *exchange) readMarker(sent bool) error {
+	if !sent {
+		x.conn.SendMarker()
+
+		if err := x.conn.Flush(); err != nil {
+			return err
+		}
+	}
+
+	return x.conn.ReadMarker(func(kind byte) error {
+		if kind == 'S' {
+			return x.relayParameterStatus()
+		}
+
+		return x.forwardMessage()
+	})
+}
+
 // sendRequest writes the request. A long one is written while its answer is read, because the server may begin to
 // answer a batch before it has read all of it.
 func (x *exchange) sendRequest() error {
--- /dev/null
+++ b/internal/proxy/repeated_test.go
@@ -0,0 +1,467 @@
+package proxy_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// repeater is a network path to a backend server on which answers arrive a second time.
+type repeater struct {
+	listener net.Listener
+	server   netip.AddrPort
+	// interval is the mean number of answers from one repeated answer to the next. Zero repeats none.
+	interval atomic.Int64
+	// answers is the maximum number of consecutive answers that are repeated together.
+	answers int
+	// delay is the maximum time between an answer and its copy.
+	delay    time.Duration
+	repeated atomic.Int64
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func newRepeater(t testing.TB, server netip.AddrPort, seed uint64, answers int, delay time.Duration) *repeater {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+
+	r := &repeater{
+		listener: listener, server: server, answers: answers, delay: delay, random: rand.New(rand.NewPCG(seed, 0)),
+	}
+
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+
+			go r.serve(conn)
+		}
+	}()
+
+	return r
+}
+
+func (r *repeater) address() netip.AddrPort {
+	return netip.MustParseAddrPort(r.listener.Addr().String())
+}
+
+func (r *repeater) serve(client net.Conn) {
+	defer func() { _ = client.Close() }()
+
+	server, err := net.Dial("tcp", r.server.String())
+	if err != nil {
+		return
+	}
+	defer func() { _ = server.Close() }()
+
+	go func() {
+		_, _ = io.Copy(server, client)
+		_ = server.Close()
+	}()
+
+	var (
+		writing sync.Mutex
+		current []byte
+		recent  [][]byte
+	)
+
+	for {
+		message, err := readMessage(server)
+		if err != nil {
+			return
+		}
+
+		writing.Lock()
+		_, err = client.Write(message)
+		writing.Unlock()
+
+		if err != nil {
+			return
+		}
+
+		if current = append(current, message...); message[0] != 'Z' {
+			continue
+		}
+
+		// The first answer is the one to the login.
+		recent = append(recent, current)
+		recent = recent[max(0, len(recent)-r.answers):]
+		current = nil
+
+		if copies, delay := r.choose(recent); copies != nil {
+			time.AfterFunc(delay, func() {
+				writing.Lock()
+				defer writing.Unlock()
+
+				_, _ = client.Write(copies)
+			})
+		}
+	}
+}
+
+// choose returns the answers to repeat now, or nil, and the delay.
+func (r *repeater) choose(recent [][]byte) ([]byte, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	interval := r.interval.Load()
+	if interval == 0 || r.random.Int64N(interval) != 0 {
+		return nil, 0
+	}
+
+	r.repeated.Add(1)
+
+	return slices.Concat(recent[r.random.IntN(len(recent)):]...), time.Duration(r.random.Int64N(int64(r.delay)))
+}
+
+// outcomes are the outcomes of writes as their callers saw them.
+type outcomes struct {
+	mu           sync.Mutex
+	acknowledged []string
+	refused      []string
+	succeeded    int
+	wrong        []string
+}
+
+func (o *outcomes) addWrong(format string, args ...any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	o.wrong = append(o.wrong, fmt.Sprintf(format, args...))
+}
+
+func (o *outcomes) addWrite(id string, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	switch state := stateOf(err); {
+	case err == nil:
+		o.acknowledged = append(o.acknowledged, id)
+		o.succeeded++
+	case state == "23505" || strings.HasPrefix(codeOf(err), "13"):
+		o.refused = append(o.refused, id)
+	}
+}
+
+func (o *outcomes) addRead() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	o.succeeded++
+}
+
+// repeatedAnswersClient runs requests whose answers differ from each other over one connection after another.
+type repeatedAnswersClient struct {
+	t      *testing.T
+	c      *cluster
+	seen   *outcomes
+	name   string
+	random *rand.Rand
+	conn   *pgx.Conn
+}
+
+func (w *repeatedAnswersClient) run(requests int) {
+	for i := range requests {
+		if w.conn == nil || w.conn.IsClosed() {
+			conn, err := pgx.Connect(testContext(w.t), w.c.url("p1", ""))
+			if err != nil {
+				continue
+			}
+
+			w.conn = conn
+		}
+
+		id := fmt.Sprintf("%s-%d", w.name, i)
+
+		switch w.random.IntN(5) {
+		case 0:
+			w.readSimple(id)
+		case 1:
+			w.readExtended(id)
+		case 2:
+			_, err := w.conn.Exec(testContext(w.t), "INSERT INTO t VALUES ($1)", id)
+			w.seen.addWrite(id, err)
+		case 3:
+			_, err := w.conn.PgConn().Exec(testContext(w.t), "INSERT INTO t VALUES ('taken')").ReadAll()
+			if err == nil {
+				w.seen.addWrong("%s: an insert of a key that exists succeeded", id)
+			}
+		default:
+			w.runTransaction(id)
+		}
+	}
+
+	if w.conn != nil {
+		_ = w.conn.Close(testContext(w.t))
+	}
+}
+
+func (w *repeatedAnswersClient) readSimple(id string) {
+	results, err := w.conn.PgConn().Exec(testContext(w.t), "SELECT '"+id+"'").ReadAll()
+	if err != nil {
+		return
+	}
+
+	if len(results) != 1 || len(results[0].Rows) != 1 || string(results[0].Rows[0][0]) != id {
+		w.seen.addWrong("%s: the rows are %s", id, rowsOf(results))
+	} else {
+		w.seen.addRead()
+	}
+}
+
+func (w *repeatedAnswersClient) readExtended(id string) {
+	var value string
+
+	err := w.conn.QueryRow(testContext(w.t), "SELECT '"+id+"'").Scan(&value)
+
+	var failure *pgconn.PgError
+
+	switch {
+	case err == nil && value == id:
+		w.seen.addRead()
+	case err == nil || errors.Is(err, pgx.ErrNoRows):
+		w.seen.addWrong("%s: the row is %q, %v", id, value, err)
+	case errors.As(err, &failure) && codeOf(err) == "":
+		w.seen.addWrong("%s: a read fails with %v", id, err)
+	}
+}
+
+func (w *repeatedAnswersClient) runTransaction(id string) {
+	tx, err := w.conn.Begin(testContext(w.t))
+	if err != nil {
+		return
+	}
+
+	_, err = tx.Exec(testContext(w.t), "INSERT INTO t VALUES ('"+id+"')")
+	if err != nil {
+		_ = tx.Rollback(testContext(w.t))
+
+		return
+	}
+
+	w.readSimple(id)
+	w.seen.addWrite(id, tx.Commit(testContext(w.t)))
+}
+
+func rowsOf(results []*pgconn.Result) string {
+	var rows []string
+
+	for _, result := range results {
+		for _, row := range result.Rows {
+			for _, value := range row {
+				rows = append(rows, string(value))
+			}
+		}
+	}
+
+	return fmt.Sprintf("%q", rows)
+}
+
+// Guards against callers that get rows of another request, a refusal of a write that ran, or the success of a write that
+// did not run, after a backend server or the network path sent an answer a second time: at once, or after the next
+// statement was sent.
+func TestRepeatedAnswersDoNotReachOtherRequests(t *testing.T) {
+	const (
+		seed     = 1
+		clients  = 8
+		requests = 150
+	)
+
+	tests := []struct {
+		name    string
+		answers int
+		delay   time.Duration
+	}{
+		{"at once", 1, time.Nanosecond},
+		{"one answer, late", 1, 3 * time.Millisecond},
+		{"several answers, late", 4, 3 * time.Millisecond},
+	}
+
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var paths []*repeater
+
+			c := newCluster(t, options{replicas: 1, relay: func(server netip.AddrPort) netip.AddrPort {
+				path := newRepeater(t, server, seed+uint64(len(paths)), test.answers, test.delay)
+				paths = append(paths, path)
+
+				return path.address()
+			}})
+			conn := c.connect("p1", "")
+			c.exec(conn, "CREATE TABLE t (id text primary key)")
+			c.exec(conn, "INSERT INTO t VALUES ('taken')")
+
+			for _, path := range paths {
+				path.interval.Store(20)
+			}
+
+			var (
+				seen outcomes
+				done sync.WaitGroup
+			)
+
+			for i := range clients {
+				client := &repeatedAnswersClient{
+					t: t, c: c, seen: &seen, name: fmt.Sprintf("c%d", i), random: rand.New(rand.NewPCG(seed, uint64(i))),
+				}
+
+				done.Go(func() { client.run(requests) })
+			}
+
+			done.Wait()
+
+			var repeated int64
+
+			for _, path := range paths {
+				path.interval.Store(0)
+				repeated += path.repeated.Load()
+			}
+
+			stored := storedIDs(t, c)
+
+			assert.Empty(t, slices.DeleteFunc(seen.acknowledged, func(id string) bool { return stored[id] }), "acknowledged writes that did not run")
+			assert.Empty(t, slices.DeleteFunc(seen.refused, func(id string) bool { return !stored[id] }), "refused writes that ran")
+			assert.Empty(t, seen.wrong)
+			assert.Positive(t, repeated)
+			assert.Greater(t, seen.succeeded, clients*requests/4)
+			t.Logf("%d answers repeated, %d requests, %d succeeded", repeated, clients*requests, seen.succeeded)
+		})
+	}
+}
+
+// storedIDs reads the table over a connection to the primary itself.
+func storedIDs(t *testing.T, c *cluster) map[string]bool {
+	t.Helper()
+
+	conn, err := pgx.Connect(testContext(t), "postgres://app@"+c.members[0].Addr().String()+"/app?sslmode=disable")
+	require.NoError(t, err)
+
+	defer func() { _ = conn.Close(testContext(t)) }()
+
+	rows, err := conn.Query(testContext(t), "SELECT id FROM t")
+	require.NoError(t, err)
+
+	ids, err := pgx.CollectRows(rows, pgx.RowTo[string])
+	require.NoError(t, err)
+
+	stored := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		stored[id] = true
+	}
+
+	return stored
+}
+
+// Guards against the answer to an earlier request that is relayed as the answer to the next one: rows of another caller,
+// a refusal for a write that ran, and a success for a write that was refused. The server sends the earlier answer a second
+// time after it has received the next statement.
+func TestEarlierAnswerIsNotTakenForTheNextOne(t *testing.T) {
+	answer := func(to *pgproto3.Backend, sql string) bool {
+		switch {
+		case strings.HasPrefix(sql, "SELECT"):
+			sendRowDescription(to)
+			sendRow(to, sql)
+
+			return sendComplete(to, "SELECT 1")
+		case strings.Contains(sql, "taken"):
+			return sendError(to, "23505")
+		}
+
+		return sendComplete(to, "INSERT 0 1")
+	}
+
+	tests := []struct {
+		name        string
+		first, next string
+		// code is the result code of the second statement, or empty if it succeeds.
+		code string
+	}{
+		{"read after a read", "SELECT 'a'", "SELECT 'b'", ""},
+		{"read after a refusal", "INSERT INTO t VALUES ('taken')", "SELECT 'b'", ""},
+		{"write after a refusal", "INSERT INTO t VALUES ('taken')", "INSERT INTO t VALUES ('b')", "1401"},
+		{"refused write after a write", "INSERT INTO t VALUES ('a')", "INSERT INTO t VALUES ('taken')", "1401"},
+	}
+
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var repeats atomic.Bool
+
+			server := newScriptedServer(t, func(to *pgproto3.Backend, sql string) bool {
+				if sql == test.next && repeats.CompareAndSwap(false, true) {
+					answer(to, test.first)
+				}
+
+				return answer(to, sql)
+			})
+			// All requests use the one connection.
+			c := newCluster(t, options{scripts: []*scriptedServer{server}, connections: 1})
+			conn := c.connect("p1", "")
+
+			_, _ = conn.PgConn().Exec(testContext(t), test.first).ReadAll()
+			results, err := conn.PgConn().Exec(testContext(t), test.next).ReadAll()
+
+			require.True(t, repeats.Load())
+			assert.Equal(t, test.code, codeOf(err), "%v", err)
+
+			if test.code == "" {
+				require.NoError(t, err)
+				assert.Equal(t, fmt.Sprintf("%q", []string{test.next}), rowsOf(results))
+			}
+
+			results, err = conn.PgConn().Exec(testContext(t), "SELECT 'c'").ReadAll()
+			require.NoError(t, err, "the session goes on")
+			assert.Equal(t, `["SELECT 'c'"]`, rowsOf(results))
+		})
+	}
+}
+
+// Guards against a connection that is closed, or a request that fails, because of a message that PostgreSQL may send at
+// any time: a notice, the new value of a parameter or a notification.
+func TestAsynchronousMessagesAreNotUnexpected(t *testing.T) {
+	asynchronous := func(to *pgproto3.Backend) {
+		to.Send(&pgproto3.NoticeResponse{Severity: "NOTICE", Code: "00000", Message: "scripted"})
+		to.Send(&pgproto3.ParameterStatus{Name: "TimeZone", Value: "UTC"})
+		to.Send(&pgproto3.NotificationResponse{PID: 1, Channel: "c"})
+	}
+	server := newScriptedServer(t, func(to *pgproto3.Backend, sql string) bool {
+		asynchronous(to)
+		sendRowDescription(to)
+		asynchronous(to)
+		sendRow(to, sql)
+		sendComplete(to, "SELECT 1")
+		asynchronous(to) // These precede the answers to the rest of the exchange.
+
+		return true
+	})
+	c := newCluster(t, options{scripts: []*scriptedServer{server}})
+	conn := c.connect("p1", "")
+
+	for range 20 {
+		results, err := conn.PgConn().Exec(testContext(t), "SELECT 'a'").ReadAll()
+		require.NoError(t, err)
+		assert.Equal(t, `["SELECT 'a'"]`, rowsOf(results))
+	}
+
+	assert.EqualValues(t, 1, server.opened.Load(), "the connection is used again")
+}
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"almondgrade/core/position"
@@ -206,11 +207,16 @@
 	return s.flush()
 }
 
-// isComplete reports whether the whole request has been received.
+// isComplete reports whether the whole request has been received, except for the data of a COPY.
 func (r *request) isComplete() bool {
 	return r.batch == nil || r.batch.synced
 }
 
+// copiesIn reports whether the server asks for data of a COPY in the course of the request.
+func (r *request) copiesIn() bool {
+	return slices.ContainsFunc(r.statements, func(stmt statement.Statement) bool { return stmt.Kind == statement.CopyIn })
+}
+
 // runOnLease runs a request on the connection that the session holds.
 func (s *session) runOnLease(ctx context.Context, r *request) *failure {
 	lease := s.lease
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -1,6 +1,8 @@
 package proxy_test
 
 import (
+	"encoding/binary"
+	"io"
 	"net"
 	"net/netip"
 	"strings"
@@ -14,7 +16,8 @@
 
 const scriptLSN = 100
 
-// scriptedServer is a backend server with answers given by a test. Statements that set up a connection succeed.
+// scriptedServer is a backend server with answers given by a test. Statements that set up a connection succeed, and so do
+// Close and Sync messages.
 type scriptedServer struct {
 	listener net.Listener
 	// answer answers one query. It returns false to close the connection.
@@ -80,7 +83,8 @@
 func (s *scriptedServer) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 
-	to := pgproto3.NewBackend(conn, conn)
+	status := &statusWriter{Writer: conn}
+	to := pgproto3.NewBackend(conn, status)
 
 	startup, err := to.ReceiveStartupMessage()
 	if err != nil {
@@ -102,14 +106,31 @@
 	to.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte{1, 2, 3, 4}})
 	to.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 
-	for to.Flush() == nil {
+	// As in PostgreSQL, the answer to Close is sent together with the answer to Sync.
+	for flush := true; !flush || to.Flush() == nil; {
 		message, err := to.Receive()
 		if err != nil {
 			return
 		}
 
-		query, ok := message.(*pgproto3.Query)
-		if !ok {
+		flush = true
+
+		var query *pgproto3.Query
+
+		switch message := message.(type) {
+		case *pgproto3.Query:
+			query = message
+		case *pgproto3.Close:
+			to.Send(&pgproto3.CloseComplete{})
+
+			flush = false
+
+			continue
+		case *pgproto3.Sync:
+			to.Send(&pgproto3.ReadyForQuery{TxStatus: status.last})
+
+			continue
+		default:
 			return
 		}
 
@@ -147,6 +168,24 @@
 	}
 }
 
+// statusWriter remembers the transaction status of the last ReadyForQuery. Each write consists of whole messages.
+type statusWriter struct {
+	io.Writer
+
+	last byte
+}
+
+// Write implements io.Writer.
+func (w *statusWriter) Write(messages []byte) (int, error) {
+	for rest := messages; len(rest) > 0; rest = rest[1+binary.BigEndian.Uint32(rest[1:]):] {
+		if rest[0] == 'Z' {
+			w.last = rest[5]
+		}
+	}
+
+	return w.Writer.Write(messages)
+}
+
 func sendComplete(to *pgproto3.Backend, tag string) bool {
 	to.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
 	to.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -105,9 +105,11 @@
 	secretKey []byte
 	// application is the application_name of the connection.
 	application string
-	tainted     atomic.Bool
-	permit      Permit
-	lastUsed    time.Time
+	// marker is the number of the marker that was sent last.
+	marker   int
+	tainted  atomic.Bool
+	permit   Permit
+	lastUsed time.Time
 
 	// deadlineMu orders Abort and changes of the deadline.
 	deadlineMu sync.Mutex
@@ -130,6 +132,16 @@
 // open is like Open, but also returns the closed connection with the error if the login was not answered in time. The
 // server may have accepted such a connection and keep it open.
 func open(ctx context.Context, options Options) (*Conn, error) {
+	conn, err := connect(ctx, options)
+	if err != nil {
+		return conn, result.New(result.ServerUnreachable, "%w", err)
+	}
+
+	return conn, nil
+}
+
+// connect is like open, but its errors carry no result code.
+func connect(ctx context.Context, options Options) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, options.ConnectTimeout)
 	defer cancel()
 
@@ -139,7 +151,7 @@
 
 	connection, err := dialer.DialContext(ctx, "tcp", options.Address.String())
 	if err != nil {
-		return nil, result.New(result.ServerUnreachable, "connect to backend server %s: %w", options.Address, err)
+		return nil, fmt.Errorf("connect to backend server %s: %w", options.Address, withContext(ctx, err))
 	}
 
 	// The passed deadline makes the login end as soon as the context is cancelled.
@@ -157,7 +169,7 @@
 			conn = nil
 		}
 
-		return conn, result.New(result.ServerUnreachable, "log in to backend server %s: %w", options.Address, err)
+		return conn, fmt.Errorf("log in to backend server %s: %w", options.Address, withContext(ctx, err))
 	}
 
 	return conn, nil
@@ -203,7 +215,7 @@
 
 	return conn, conn.readUntilReady(func(kind byte, body []byte) error {
 		if kind != 'K' {
-			return nil
+			return errUnrequestedKind(kind)
 		}
 
 		var key pgproto3.BackendKeyData
@@ -319,6 +331,12 @@
 	return conversation, c.Send(&pgproto3.SASLInitialResponse{AuthMechanism: scramMechanism, Data: []byte(first)})
 }
 
+// statementResult is the answer to one statement: its rows as text, in which NULL is the empty string, and its command tag.
+type statementResult struct {
+	rows [][]string
+	tag  string
+}
+
 // Query runs SQL by the simple query protocol, independently of a caller's request, and returns the rows as text and
 // the last command tag. An error that the server sent is a *ServerError and leaves the connection usable; after any
 // other error the connection is tainted.
@@ -328,47 +346,90 @@
 		tag  string
 	)
 
+	results, err := c.queryAll(deadline, sql)
+	for _, result := range results {
+		rows = append(rows, result.rows...)
+		tag = result.tag
+	}
+
+	return rows, tag, err
+}
+
+// queryAll runs statements that are separated by semicolons like Query and returns the answer to each of them.
+func (c *Conn) queryAll(deadline time.Time, sql string) ([]statementResult, error) {
 	if err := c.SetDeadline(deadline); err != nil {
-		return nil, "", c.taintOn(err)
+		return nil, c.taintOn(err)
 	}
 
 	c.TxStatus = 0
 
 	if err := c.Send(&pgproto3.Query{String: sql}); err != nil {
-		return nil, "", c.taintOn(err)
+		return nil, c.taintOn(err)
 	}
 
+	c.SendMarker()
+
 	if err := c.Flush(); err != nil {
-		return nil, "", c.taintOn(err)
+		return nil, c.taintOn(err)
 	}
 
+	var (
+		results []statementResult
+		rows    [][]string
+	)
+
 	err := c.readUntilReady(func(kind byte, body []byte) error {
 		switch kind {
+		case 'T', 'I':
 		case 'D':
-			var row pgproto3.DataRow
-			if err := row.Decode(body); err != nil {
+			row, err := decodeRow(body)
+			if err != nil {
 				return err
 			}
 
-			values := make([]string, len(row.Values))
-			for i, value := range row.Values {
-				values[i] = string(value)
-			}
-
-			rows = append(rows, values)
+			rows = append(rows, row)
 		case 'C':
 			var complete pgproto3.CommandComplete
 			if err := complete.Decode(body); err != nil {
 				return err
 			}
 
-			tag = string(complete.CommandTag)
+			results = append(results, statementResult{rows: rows, tag: string(complete.CommandTag)})
+			rows = nil
+		default:
+			return errUnrequestedKind(kind)
 		}
 
 		return nil
 	})
 
-	return rows, tag, err
+	if c.TxStatus == 0 {
+		return nil, err
+	}
+
+	if failed := c.ReadMarker(c.handleAsynchronous); failed != nil {
+		return nil, failed
+	}
+
+	return results, err
+}
+
+func decodeRow(body []byte) ([]string, error) {
+	var row pgproto3.DataRow
+	if err := row.Decode(body); err != nil {
+		return nil, err
+	}
+
+	values := make([]string, len(row.Values))
+	for i, value := range row.Values {
+		values[i] = string(value)
+	}
+
+	return values, nil
+}
+
+func errUnrequestedKind(kind byte) error {
+	return fmt.Errorf("%w: message %q", ErrUnrequested, kind)
 }
 
 // Exec runs SQL like Query and discards the rows.
@@ -388,6 +449,14 @@
 			return c.taintOn(err)
 		}
 
+		if IsAsynchronous(kind) {
+			if err := c.handleAsynchronous(kind); err != nil {
+				return c.taintOn(err)
+			}
+
+			continue
+		}
+
 		body, err := c.ReadBody()
 		if err != nil {
 			return c.taintOn(err)
@@ -398,13 +467,6 @@
 			if failure == nil {
 				failure = decodeError(body)
 			}
-		case 'S':
-			var parameter pgproto3.ParameterStatus
-			if err := parameter.Decode(body); err != nil {
-				return c.taintOn(err)
-			}
-
-			c.Parameters[parameter.Name] = parameter.Value
 		case 'Z':
 			if len(body) != 1 {
 				return c.taintOn(errors.New("ReadyForQuery has a wrong length"))
@@ -421,6 +483,15 @@
 	}
 }
 
+// withContext adds the reason why a context ended to an error that its end caused.
+func withContext(ctx context.Context, err error) error {
+	if cause := ctx.Err(); cause != nil && !errors.Is(err, cause) {
+		return fmt.Errorf("%w: %w", cause, err)
+	}
+
+	return err
+}
+
 func (c *Conn) taintOn(err error) error {
 	c.Taint()
 
--- a/io/backend/pool_test.go
+++ b/io/backend/pool_test.go
@@ -115,14 +115,28 @@
 	to.Send(&pgproto3.BackendKeyData{ProcessID: uint32(number), SecretKey: []byte{1, 2, 3, 4}})
 	to.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 
+	status := byte('I')
+
 	for to.Flush() == nil {
 		message, err := to.Receive()
 		if err != nil {
 			return
 		}
 
-		query, ok := message.(*pgproto3.Query)
-		if !ok {
+		var query *pgproto3.Query
+
+		switch message := message.(type) {
+		case *pgproto3.Query:
+			query = message
+		case *pgproto3.Close:
+			to.Send(&pgproto3.CloseComplete{})
+
+			continue
+		case *pgproto3.Sync:
+			to.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+
+			continue
+		default:
 			if s.losesEnds.Load() {
 				_, _ = io.Copy(io.Discard, conn)
 			}
@@ -142,7 +156,7 @@
 			return
 		}
 
-		status := byte('I')
+		status = 'I'
 
 		switch query.String {
 		case "BEGIN":
