internal/proxy: relay only messages that the request asks for

Callers got an answer twice within one request, such as two CommandComplete or ParseComplete messages, and a pinned session that was idle got whole answers that it had not asked for.

Cause: the proxy relayed each message that did not complete the next step of a batch, whatever its kind, and the loop for notifications forwarded every message.

Change: within a batch only the next step's messages are relayed, within a simple query one CommandComplete or EmptyQueryResponse a statement, and ReadyForQuery only after all of them. While a pinned session is idle, only NoticeResponse, ParameterStatus, NotificationResponse and a fatal error are forwarded. Anything else closes the connection.

--- a/internal/proxy/batch.go
+++ b/internal/proxy/batch.go
@@ -389,6 +389,33 @@
 	return &front
 }
 
+// expectsPart reports whether a message belongs to the answer to the next step without completing it.
+func (p *batchPlan) expectsPart(kind byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if len(p.steps) == 0 {
+		return false
+	}
+
+	switch front := &p.steps[0]; front.kind {
+	case stepDescribe:
+		return kind == 't'
+	case stepExecute:
+		return front.replacementTag == "" && (kind == 'D' || kind == 'G' || kind == 'H' || kind == 'd' || kind == 'c')
+	default:
+		return false
+	}
+}
+
+// isAnswered reports whether no further answer than ReadyForQuery is expected.
+func (p *batchPlan) isAnswered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return len(p.steps) == 0
+}
+
 // skipRest records that the server skips the rest of the batch, and undoes what the skipped messages would have
 // changed in the connection's set of prepared statements.
 func (p *batchPlan) skipRest() {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -34,6 +35,9 @@
 	maxInlineWriteBytes = 8 << 10
 	// maxHeldAnswerBytes bounds the part of an answer that is held back until a commit is confirmed.
 	maxHeldAnswerBytes = 64 << 10
+	// simpleAnswerKinds are the messages of which the answer to a simple query consists, without errors and those that may
+	// arrive at any time.
+	simpleAnswerKinds = "TDCIGHdc"
 )
 
 // exchange is one execution of a request on one connection.
@@ -319,6 +323,10 @@
 				return 0, errors.Join(errors.New("can't read ReadyForQuery"), err)
 			}
 
+			if !x.isAnswered() {
+				return 0, errUnrequestedKind(kind)
+			}
+
 			x.conn.TxStatus = body[0]
 
 			return body[0], nil
@@ -358,8 +366,12 @@
 		}
 	}
 
+	if !x.expects(kind) {
+		return errUnrequestedKind(kind)
+	}
+
 	switch kind {
-	case 'C', 's', 'I':
+	case 'C', 'I':
 		return x.completeStatement(kind, x.nextStatement())
 	case 'E':
 		return x.relayError()
@@ -391,6 +403,31 @@
 	return x.forwardMessage()
 }
 
+// expects reports whether a message that ends no step of a batch may arrive at this point of the answer.
+func (x *exchange) expects(kind byte) bool {
+	switch {
+	case kind == 'E' || backend.IsAsynchronous(kind):
+		return true
+	case x.plan != nil:
+		return x.plan.expectsPart(kind)
+	}
+
+	return strings.IndexByte(simpleAnswerKinds, kind) >= 0 && x.completedStatements < len(x.request.statements)
+}
+
+// isAnswered reports whether ReadyForQuery may arrive at this point of the answer.
+func (x *exchange) isAnswered() bool {
+	if x.plan != nil {
+		return x.plan.isAnswered()
+	}
+
+	return x.failed || x.completedStatements > 0
+}
+
+func errUnrequestedKind(kind byte) error {
+	return fmt.Errorf("%w: message %q", backend.ErrUnrequested, kind)
+}
+
 // forwardMessage forwards a message of any size.
 func (x *exchange) forwardMessage() error {
 	begin := x.session.caller.Offset()
--- a/internal/proxy/repeated_test.go
+++ b/internal/proxy/repeated_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -27,7 +28,8 @@
 	server   netip.AddrPort
 	// interval is the mean number of answers from one repeated answer to the next. Zero repeats none.
 	interval atomic.Int64
-	// answers is the maximum number of consecutive answers that are repeated together.
+	// answers is the maximum number of consecutive answers that are repeated together. Zero repeats single messages that end
+	// an answer or a part of it.
 	answers int
 	// delay is the maximum time between an answer and its copy.
 	delay    time.Duration
@@ -100,15 +102,20 @@
 			return
 		}
 
-		if current = append(current, message...); message[0] != 'Z' {
+		current = append(current, message...)
+
+		switch {
+		case r.answers == 0 && strings.IndexByte("123CIZ", message[0]) >= 0:
+			recent = [][]byte{message}
+		case r.answers > 0 && message[0] == 'Z':
+			// The first answer is the one to the login.
+			recent = append(recent, current)
+			recent = recent[max(0, len(recent)-r.answers):]
+			current = nil
+		default:
 			continue
 		}
 
-		// The first answer is the one to the login.
-		recent = append(recent, current)
-		recent = recent[max(0, len(recent)-r.answers):]
-		current = nil
-
 		if copies, delay := r.choose(recent); copies != nil {
 			time.AfterFunc(delay, func() {
 				writing.Lock()
@@ -293,6 +300,7 @@
 		answers int
 		delay   time.Duration
 	}{
+		{"single messages", 0, time.Nanosecond},
 		{"at once", 1, time.Nanosecond},
 		{"one answer, late", 1, 3 * time.Millisecond},
 		{"several answers, late", 4, 3 * time.Millisecond},
@@ -465,3 +473,104 @@
 
 	assert.EqualValues(t, 1, server.opened.Load(), "the connection is used again")
 }
+
+// Guards against an answer that arrives again while a pinned session is idle, and is forwarded to the caller or taken for
+// the answer to its next statement.
+func TestRepeatedAnswersDoNotReachAnIdlePinnedSession(t *testing.T) {
+	var path *repeater
+
+	c := newCluster(t, options{relay: func(server netip.AddrPort) netip.AddrPort {
+		path = newRepeater(t, server, 1, 1, time.Millisecond)
+
+		return path.address()
+	}})
+
+	for i := range 20 {
+		conn, err := net.Dial("tcp", c.proxies["p1"].address)
+		require.NoError(t, err)
+
+		front := pgproto3.NewFrontend(conn, conn)
+		front.Send(&pgproto3.StartupMessage{
+			ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "app", "database": "app"},
+		})
+		require.NoError(t, front.Flush())
+		receiveAnswer(t, front)
+
+		front.Send(&pgproto3.Query{String: "LISTEN c"})
+		path.interval.Store(1)
+		require.NoError(t, front.Flush())
+
+		kinds, listening := receiveAnswer(t, front)
+		repeated := path.repeated.Load()
+
+		path.interval.Store(0)
+
+		if !listening {
+			require.NoError(t, conn.Close())
+
+			continue
+		}
+
+		require.Positive(t, repeated)
+		require.Equal(t, []string{"*pgproto3.CommandComplete", "*pgproto3.ReadyForQuery"}, kinds)
+
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+
+		message, err := front.Receive()
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded, "%T arrived while the session was idle", message)
+		require.NoError(t, conn.SetReadDeadline(time.Time{}))
+
+		front = pgproto3.NewFrontend(conn, conn)
+		front.Send(&pgproto3.Query{String: fmt.Sprintf("SELECT '%d'", i)})
+		require.NoError(t, front.Flush())
+
+		kinds, answered := receiveAnswer(t, front)
+		if answered {
+			require.Equal(t, []string{
+				"*pgproto3.RowDescription", fmt.Sprintf("row %d", i), "*pgproto3.CommandComplete", "*pgproto3.ReadyForQuery",
+			}, kinds)
+		}
+
+		require.NoError(t, conn.Close())
+	}
+}
+
+// receiveAnswer receives messages up to ReadyForQuery. It returns false if an error or the end of the connection arrives.
+func receiveAnswer(t *testing.T, front *pgproto3.Frontend) ([]string, bool) {
+	t.Helper()
+
+	var kinds []string
+
+	for {
+		message, err := front.Receive()
+		if err != nil {
+			return kinds, false
+		}
+
+		switch message := message.(type) {
+		case *pgproto3.ParameterStatus:
+		case *pgproto3.ErrorResponse:
+			return kinds, false
+		case *pgproto3.DataRow:
+			kinds = append(kinds, "row "+string(message.Values[0]))
+		case *pgproto3.ReadyForQuery:
+			return append(kinds, fmt.Sprintf("%T", message)), true
+		default:
+			kinds = append(kinds, fmt.Sprintf("%T", message))
+		}
+	}
+}
+
+// Guards against a request that fails because the server has ended an idle connection with an error, as in a planned stop.
+func TestFatalErrorOnAnIdleConnection(t *testing.T) {
+	c := newCluster(t, options{})
+	conn := c.connect("p1", "")
+	c.exec(conn, "CREATE TABLE t (id int primary key)")
+
+	for i := range 5 {
+		require.NoError(t, c.admins[0].Terminate(testContext(t), "ag/p1/"))
+		c.exec(conn, "INSERT INTO t VALUES ($1)", i)
+	}
+
+	assert.EqualValues(t, 5, queryValue[int64](t, conn, "SELECT count(*) FROM t"))
+}
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -197,14 +197,9 @@
 		defer close(done)
 
 		for conn.WaitForHeader() == nil {
-			if _, _, err := conn.ReadHeader(); err != nil {
-				conn.Taint()
-
-				return
-			}
-
-			if conn.Forward(s.caller.Writer) != nil || s.caller.Flush() != nil {
-				conn.Taint()
+			if err := s.forwardIdleMessage(conn); err != nil {
+				s.server.options.Logger.Info("closing the backend connection of a pinned session", "user", s.user, "error", err)
+				conn.Abort()
 
 				return
 			}
@@ -220,6 +215,43 @@
 	}
 }
 
+// forwardIdleMessage forwards a message that the server sent while no statement runs: one that may arrive at any time, or the
+// reason why the server closes the connection.
+func (s *session) forwardIdleMessage(conn *backend.Conn) error {
+	kind, _, err := conn.ReadHeader()
+	if err != nil {
+		return err
+	}
+
+	body, err := conn.ReadBody()
+	if err != nil {
+		return err
+	}
+
+	switch kind {
+	case 'N', 'A':
+	case 'S':
+		if name, _, _ := strings.Cut(string(body), "\x00"); isBackendParameter(name) {
+			return nil
+		}
+	case 'E':
+		var message pgproto3.ErrorResponse
+		if err := message.Decode(body); err != nil {
+			return err
+		}
+
+		if message.Severity != "FATAL" && message.Severity != "PANIC" {
+			return errUnrequestedKind(kind)
+		}
+	default:
+		return errUnrequestedKind(kind)
+	}
+
+	s.caller.SendRaw(kind, body)
+
+	return s.caller.Flush()
+}
+
 // endAfterError tells the caller why the session ends, unless the caller has left.
 func (s *session) endAfterError(err error) {
 	if errors.Is(err, errCallerGone) || errors.Is(err, io.EOF) {
