io/backend: run administrative queries over Conn

A repeated answer was taken for the newest state of a server: an observation from which barriers, confirmations and the choice of a new primary derive showed an older position, and a replica counted as promoted because the first column of a repeated observation was "t".

Cause: Admin used a pgconn connection, which pairs answers with queries by their order alone.

Change: Admin runs its queries over Conn, so that each ends with a marker, and is closed by anything that answers no request. A monitor then asks again over a new connection, as after each failure of an open one. The detector gets SQLSTATEs from backend.SQLState. MD5 passwords, which pgconn knew, are not supported; data connections have never supported them.

Ruled out: a SELECT of a number behind each query, because ALTER SYSTEM can't run in one message with other statements.

Evidence: TestRepeatedAnswerIsNotTakenForANewObservation failed before (position 0/1 twice) and so did the case "promotion 6" of TestRepeatedAnswersDoNotFenceOrPromote; its cases of Fence failed only by the kind of the error. All pass with -race. TestObservationsGoOnBesideAsynchronousMessages passed before as well.

--- a/internal/coordinator/monitor.go
+++ b/internal/coordinator/monitor.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgconn"
-
 	"almondgrade/core/failover"
 	"almondgrade/core/registry"
 	"almondgrade/core/timer"
@@ -219,12 +217,11 @@
 		return failover.Answered
 	}
 
-	var answer *pgconn.PgError
-	if errors.As(err, &answer) && len(answer.Code) > classBytes && answer.Code[:classBytes] != serverDownClass {
+	if state := backend.SQLState(err); len(state) > classBytes && state[:classBytes] != serverDownClass {
 		return failover.Answered
 	}
 
-	if errors.Is(err, context.DeadlineExceeded) || pgconn.Timeout(err) {
+	if errors.Is(err, context.DeadlineExceeded) {
 		return failover.TimedOut
 	}
 
--- a/io/backend/admin.go
+++ b/io/backend/admin.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/netip"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/rotisserie/eris"
 
 	"almondgrade/core/position"
@@ -25,7 +23,7 @@
 
 // Admin is an administrative connection to one backend server. It is not safe for concurrent use.
 type Admin struct {
-	conn  *pgconn.PgConn
+	conn  *Conn
 	login Login
 }
 
@@ -68,24 +66,19 @@
 	terminateQuery  = `SELECT count(pg_terminate_backend(pid)) FROM pg_stat_activity WHERE application_name LIKE `
 	observeColumns  = 6
 	fencePollPeriod = 5 * time.Millisecond
+
+	// adminConnectTimeout bounds the opening of a connection whose context has no deadline.
+	adminConnectTimeout = 2 * time.Minute
 )
 
 // OpenAdmin connects to a backend server. The application name identifies the connection to the server.
 func OpenAdmin(ctx context.Context, address netip.AddrPort, login Login, application string) (*Admin, error) {
-	config, err := pgconn.ParseConfig("sslmode=disable")
-	if err != nil {
-		return nil, eris.Wrap(err, "connection settings")
-	}
-
-	config.Host = address.Addr().String()
-	config.Port = address.Port()
-	config.User = login.User
-	config.Password = login.Password
-	config.Database = login.Database
-	config.RuntimeParams = map[string]string{"application_name": application}
-	config.Fallbacks = nil
-
-	conn, err := pgconn.ConnectConfig(ctx, config)
+	conn, err := connect(ctx, Options{
+		Address:        address,
+		Login:          func() (Login, error) { return login, nil },
+		Application:    func() string { return application },
+		ConnectTimeout: adminConnectTimeout,
+	})
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to backend server %s", address)
 	}
@@ -99,22 +92,17 @@
 // IsTooManyConnections reports whether an error of OpenAdmin means that the server has too many connections. Such a
 // server is alive.
 func IsTooManyConnections(err error) bool {
-	var failure *pgconn.PgError
-
-	return errors.As(err, &failure) && failure.Code == sqlStateTooManyConnections
+	return SQLState(err) == sqlStateTooManyConnections
 }
 
 // Close closes the connection. It waits for at most one second.
 func (a *Admin) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-
-	_ = a.conn.Close(ctx)
+	a.conn.Close()
 }
 
 // IsClosed reports whether the connection was closed or has failed, so that it can't be used any more.
 func (a *Admin) IsClosed() bool {
-	return a.conn.IsClosed()
+	return a.conn.tainted.Load()
 }
 
 // Observe asks the server for its role, term and positions.
@@ -305,26 +293,19 @@
 
 // queryAll runs statements that are separated by semicolons and returns the rows of each of them.
 func (a *Admin) queryAll(ctx context.Context, sql string) ([][][]string, error) {
-	results, err := a.conn.Exec(ctx, sql).ReadAll()
-	if err != nil {
-		return nil, eris.Wrapf(err, "query %.40q", sql)
-	}
-
-	answers := make([][][]string, 0, len(results))
-
-	for _, result := range results {
-		rows := make([][]string, 0, len(result.Rows))
+	// The connection can't be used after its context has ended, because the answer is still to come.
+	stop := context.AfterFunc(ctx, a.conn.Abort)
+	results, err := a.conn.queryAll(time.Time{}, sql)
 
-		for _, values := range result.Rows {
-			row := make([]string, len(values))
-			for i, value := range values {
-				row[i] = string(value)
-			}
+	stop()
 
-			rows = append(rows, row)
-		}
+	if err != nil {
+		return nil, eris.Wrapf(withContext(ctx, err), "query %.40q", sql)
+	}
 
-		answers = append(answers, rows)
+	answers := make([][][]string, len(results))
+	for i, result := range results {
+		answers[i] = result.rows
 	}
 
 	return answers, nil
