--- a/io/backend/doc.go
+++ b/io/backend/doc.go
@@ -7,6 +7,9 @@
 // Conn is a data connection, Pool holds the data connections to one database of one server, and ActivityChecker ends
 // connections that were closed while the server may still be running a statement of them.
 //
+// Each exchange on a connection ends with a marker, because an answer does not name its request. A connection on which the
+// server sends anything that answers no request fails with ErrUnrequested and is not used again.
+//
 // # Usage
 //
 //	admin, err := backend.OpenAdmin(ctx, server.Address, login, "ag/p1/monitor")
