internal/proxy: give the loss of a setup statement a result code

Callers got "EOF (SQLSTATE XX000)" and the like without a result code, from which they can't tell whether the request ran, when the connection was lost by a statement that the proxy sends before the request and no attempt was left.

Cause: the errors of prepareConn, of the statement that inserts a request's name and of the one that records a named transaction were passed on as they were.

Change: they get code 1309, which says that the request did not run. It was not sent; a named transaction whose record fails is not committed.

Ruled out: a code in answerFailure for all errors without one, because some have a SQLSTATE of their own, as a cancel request has.

--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -72,6 +72,46 @@
 	}
 }
 
+// Guards against an error without a result code, from which the caller can't tell whether its request ran, when the
+// connection is lost by a statement that the proxy sends before the request.
+func TestLostSetupStatementsHaveAResultCode(t *testing.T) {
+	tests := []struct {
+		name       string
+		statements []string
+		// lost begins the statement that closes the connection.
+		lost string
+	}{
+		{"name of a request", []string{"SET almondgrade.request = 'a'", "INSERT INTO t VALUES (1)"}, "BEGIN"},
+		{"record of a named transaction", []string{"SET almondgrade.request = 'a'", "BEGIN", "INSERT INTO t VALUES (1)", "COMMIT"}, "UPDATE"},
+	}
+
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := newScriptedServer(t, func(to *pgproto3.Backend, sql string) bool {
+				if strings.HasPrefix(sql, test.lost) {
+					return false
+				}
+
+				to.Send(&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")})
+				to.Send(&pgproto3.ReadyForQuery{TxStatus: 'T'})
+
+				return true
+			})
+			conn := newCluster(t, options{scripts: []*scriptedServer{server}}).connect("p1", "").PgConn()
+
+			var err error
+
+			for _, sql := range test.statements {
+				require.NoError(t, err)
+
+				_, err = conn.Exec(testContext(t), sql).ReadAll()
+			}
+
+			assert.Equal(t, "1309", codeOf(err), "%v", err)
+		})
+	}
+}
+
 // Guards against a read that writes through a function and is refused, or whose answer the caller gets twice. The
 // replica refuses it as read-only, and the proxy runs it on the primary.
 func TestReadThatWritesIsRunAsAWrite(t *testing.T) {
--- a/internal/proxy/namedrequest.go
+++ b/internal/proxy/namedrequest.go
@@ -151,7 +151,7 @@
 		return &failure{err: errDraining(), permanent: true}
 	}
 
-	failed := &failure{err: err}
+	failed := &failure{err: setupError(err)}
 
 	var server *backend.ServerError
 	if !errors.As(err, &server) && result.CodeOf(err) == result.OK {
@@ -340,7 +340,7 @@
 		err = errDraining()
 	}
 
-	return &failure{err: err, permanent: true}
+	return &failure{err: setupError(err), permanent: true}
 }
 
 // recordSQL returns the statement that records the command tags so far, followed by the given ones.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -403,7 +403,7 @@
 		lease.conn.Taint()
 		lease.release()
 
-		return &failure{err: err, server: server.Name}
+		return &failure{err: setupError(err), server: server.Name}
 	}
 
 	if s.server.parameters.Load() == nil {
@@ -426,6 +426,15 @@
 	return failed
 }
 
+// setupError returns the error of a statement of the proxy after which the request was not sent.
+func setupError(err error) error {
+	if backend.SQLState(err) != "" || result.CodeOf(err) != result.OK {
+		return err
+	}
+
+	return result.New(result.ServerUnreachable, "the connection to the backend server was lost before the request was sent: %w", err)
+}
+
 // chooseServer returns the server for a request that begins outside a transaction.
 func (s *session) chooseServer(ctx context.Context, r *request) (*registry.View, registry.Server, error) {
 	switch r.class {
