internal/proxy: repeat answers beside requests that run at most once

TestRepeatedAnswersDoNotReachOtherRequests now also runs named requests and asks for their outcome if it is unknown, which the table must confirm.

--- a/internal/proxy/repeated_test.go
+++ b/internal/proxy/repeated_test.go
@@ -148,7 +148,9 @@
 	acknowledged []string
 	refused      []string
 	succeeded    int
-	wrong        []string
+	// outcomes counts the queries for the outcome of a request that were answered.
+	outcomes int
+	wrong    []string
 }
 
 func (o *outcomes) addWrong(format string, args ...any) {
@@ -201,7 +203,7 @@
 
 		id := fmt.Sprintf("%s-%d", w.name, i)
 
-		switch w.random.IntN(5) {
+		switch w.random.IntN(6) {
 		case 0:
 			w.readSimple(id)
 		case 1:
@@ -214,6 +216,8 @@
 			if err == nil {
 				w.seen.addWrong("%s: an insert of a key that exists succeeded", id)
 			}
+		case 4:
+			w.runNamed(id)
 		default:
 			w.runTransaction(id)
 		}
@@ -271,6 +275,34 @@
 	w.seen.addWrite(id, tx.Commit(testContext(w.t)))
 }
 
+// runNamed runs a write that runs at most once, and asks for its outcome if it is not known.
+func (w *repeatedAnswersClient) runNamed(id string) {
+	if _, err := w.conn.Exec(testContext(w.t), "SET almondgrade.request = '"+id+"'"); err != nil {
+		return
+	}
+
+	_, err := w.conn.Exec(testContext(w.t), "INSERT INTO t VALUES ('"+id+"')")
+	if err == nil || !strings.HasPrefix(codeOf(err), "14") {
+		w.seen.addWrite(id, err)
+
+		return
+	}
+
+	var outcome string
+	if err := w.conn.QueryRow(testContext(w.t), "SHOW almondgrade.outcome").Scan(&outcome); err != nil {
+		return
+	}
+
+	w.seen.mu.Lock()
+	defer w.seen.mu.Unlock()
+
+	if w.seen.outcomes++; outcome == "not run" {
+		w.seen.refused = append(w.seen.refused, id)
+	} else {
+		w.seen.acknowledged = append(w.seen.acknowledged, id)
+	}
+}
+
 func rowsOf(results []*pgconn.Result) string {
 	var rows []string
 
@@ -353,7 +385,7 @@
 			assert.Empty(t, seen.wrong)
 			assert.Positive(t, repeated)
 			assert.Greater(t, seen.succeeded, clients*requests/4)
-			t.Logf("%d answers repeated, %d requests, %d succeeded", repeated, clients*requests, seen.succeeded)
+			t.Logf("%d answers repeated, %d requests, %d succeeded, %d outcomes queried", repeated, clients*requests, seen.succeeded, seen.outcomes)
 		})
 	}
 }
