--- a/internal/proxy/batch.go
+++ b/internal/proxy/batch.go
@@ -41,8 +41,6 @@
 	sharedPrefix = "agp_"
 	// sharedDigestBytes is the length of the digest in such a name; a collision would run another caller's statement.
 	sharedDigestBytes = 16
-	// unusedName is a name that no statement and no portal has. Closing it has no effect except for the answer.
-	unusedName = "agp_nothing"
 )
 
 // newPrepared parses the rest of a Parse message after the statement's name.
@@ -321,7 +319,7 @@
 	if found != nil && p.beginSent {
 		if stmt := found.firstStatement(); stmt != nil && stmt.Kind == statement.Begin {
 			p.beginSent = false
-			p.conn.SendRaw('C', nameAndBody("P"+unusedName, nil))
+			p.conn.SendRaw('C', nameAndBody("P"+backend.UnusedName, nil))
 			p.steps = append(p.steps, step{kind: stepExecute, statement: found, replacementTag: tagBegin})
 
 			return nil
@@ -347,7 +345,7 @@
 	if body[0] == 'S' {
 		// The connection keeps the statement, because other sessions may use it.
 		p.statements[name] = nil
-		body = nameAndBody("S"+unusedName, nil)
+		body = nameAndBody("S"+backend.UnusedName, nil)
 	}
 
 	p.conn.SendRaw('C', body)
@@ -391,6 +389,33 @@
 	return &front
 }
 
+// expectsPart reports whether a message belongs to the answer to the next step without completing it.
+func (p *batchPlan) expectsPart(kind byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if len(p.steps) == 0 {
+		return false
+	}
+
+	switch front := &p.steps[0]; front.kind {
+	case stepDescribe:
+		return kind == 't'
+	case stepExecute:
+		return front.replacementTag == "" && (kind == 'D' || kind == 'G' || kind == 'H' || kind == 'd' || kind == 'c')
+	default:
+		return false
+	}
+}
+
+// isAnswered reports whether no further answer than ReadyForQuery is expected.
+func (p *batchPlan) isAnswered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return len(p.steps) == 0
+}
+
 // skipRest records that the server skips the rest of the batch, and undoes what the skipped messages would have
 // changed in the connection's set of prepared statements.
 func (p *batchPlan) skipRest() {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -34,6 +35,9 @@
 	maxInlineWriteBytes = 8 << 10
 	// maxHeldAnswerBytes bounds the part of an answer that is held back until a commit is confirmed.
 	maxHeldAnswerBytes = 64 << 10
+	// simpleAnswerKinds are the messages of which the answer to a simple query consists, without errors and those that may
+	// arrive at any time.
+	simpleAnswerKinds = "TDCIGHdc"
 )
 
 // exchange is one execution of a request on one connection.
@@ -59,6 +63,8 @@
 	committed bool
 	// settingsUncertain is true if it is unknown whether a change of parameters is in force on the connection.
 	settingsUncertain bool
+	// preparedChanges are the steps of the batch that have prepared or deallocated a statement of the caller.
+	preparedChanges []step
 	// needsConfirmation is true once the end of a statement has been held back.
 	needsConfirmation bool
 	// retrySQLState is the SQLSTATE of an error that a retry may avoid, retryError the error itself.
@@ -197,6 +203,11 @@
 		return 0, err
 	}
 
+	markerSent := x.request.isComplete() && !x.request.copiesIn()
+	if markerSent {
+		x.conn.SendMarker()
+	}
+
 	if err := x.sendRequest(); err != nil {
 		return 0, err
 	}
@@ -227,9 +238,34 @@
 		}
 	}
 
+	if err == nil {
+		err = x.readMarker(markerSent)
+	}
+
 	return status, err
 }
 
+// readMarker reads the answer to the marker of the exchange, before which the answer is not certain to belong to the
+// request. A marker that was not sent with the request is sent first: the server takes nothing but the caller's data while
+// it waits for them.
+func (x *exchange) readMarker(sent bool) error {
+	if !sent {
+		x.conn.SendMarker()
+
+		if err := x.conn.Flush(); err != nil {
+			return err
+		}
+	}
+
+	return x.conn.ReadMarker(func(kind byte) error {
+		if kind == 'S' {
+			return x.relayParameterStatus()
+		}
+
+		return x.forwardMessage()
+	})
+}
+
 // sendRequest writes the request. A long one is written while its answer is read, because the server may begin to
 // answer a batch before it has read all of it.
 func (x *exchange) sendRequest() error {
@@ -287,6 +323,10 @@
 				return 0, errors.Join(errors.New("can't read ReadyForQuery"), err)
 			}
 
+			if !x.isAnswered() {
+				return 0, errUnrequestedKind(kind)
+			}
+
 			x.conn.TxStatus = body[0]
 
 			return body[0], nil
@@ -326,8 +366,12 @@
 		}
 	}
 
+	if !x.expects(kind) {
+		return errUnrequestedKind(kind)
+	}
+
 	switch kind {
-	case 'C', 's', 'I':
+	case 'C', 'I':
 		return x.completeStatement(kind, x.nextStatement())
 	case 'E':
 		return x.relayError()
@@ -359,6 +403,31 @@
 	return x.forwardMessage()
 }
 
+// expects reports whether a message that ends no step of a batch may arrive at this point of the answer.
+func (x *exchange) expects(kind byte) bool {
+	switch {
+	case kind == 'E' || backend.IsAsynchronous(kind):
+		return true
+	case x.plan != nil:
+		return x.plan.expectsPart(kind)
+	}
+
+	return strings.IndexByte(simpleAnswerKinds, kind) >= 0 && x.completedStatements < len(x.request.statements)
+}
+
+// isAnswered reports whether ReadyForQuery may arrive at this point of the answer.
+func (x *exchange) isAnswered() bool {
+	if x.plan != nil {
+		return x.plan.isAnswered()
+	}
+
+	return x.failed || x.completedStatements > 0
+}
+
+func errUnrequestedKind(kind byte) error {
+	return fmt.Errorf("%w: message %q", backend.ErrUnrequested, kind)
+}
+
 // forwardMessage forwards a message of any size.
 func (x *exchange) forwardMessage() error {
 	begin := x.session.caller.Offset()
@@ -404,16 +473,25 @@
 		return x.conn.SkipBody()
 	}
 
-	switch {
-	case completed.kind == stepParse && completed.statement != nil:
-		x.session.prepared[completed.name] = completed.statement
-	case completed.kind == stepClose && completed.deallocates:
-		delete(x.session.prepared, completed.name)
+	if completed.kind == stepParse && completed.statement != nil || completed.kind == stepClose && completed.deallocates {
+		x.preparedChanges = append(x.preparedChanges, *completed)
 	}
 
 	return x.forwardMessage()
 }
 
+// applyPreparedChanges changes the session's prepared statements as the answer says. Another attempt of a batch must find
+// them unchanged, so they change only once the caller gets the answer.
+func (x *exchange) applyPreparedChanges() {
+	for i := range x.preparedChanges {
+		if changed := &x.preparedChanges[i]; changed.kind == stepParse {
+			x.session.prepared[changed.name] = changed.statement
+		} else {
+			delete(x.session.prepared, changed.name)
+		}
+	}
+}
+
 // nextStatement returns the statement of a simple query to which the current message belongs.
 func (x *exchange) nextStatement() *statement.Statement {
 	if x.plan != nil || x.completedStatements >= len(x.request.statements) {
@@ -590,6 +668,10 @@
 	}
 
 	answered := !x.session.caller.Rewind(x.answerStart)
+	if answered {
+		x.applyPreparedChanges()
+	}
+
 	failed := &failure{err: err, sent: true, answered: answered, server: x.lease.server, permanent: x.forwarder != nil}
 
 	x.session.mu.Lock()
@@ -619,6 +701,7 @@
 		}
 	}
 
+	x.applyPreparedChanges()
 	x.updateConnState(status)
 
 	s.status = status
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"time"
 
 	"almondgrade/core/position"
@@ -206,11 +207,16 @@
 	return s.flush()
 }
 
-// isComplete reports whether the whole request has been received.
+// isComplete reports whether the whole request has been received, except for the data of a COPY.
 func (r *request) isComplete() bool {
 	return r.batch == nil || r.batch.synced
 }
 
+// copiesIn reports whether the server asks for data of a COPY in the course of the request.
+func (r *request) copiesIn() bool {
+	return slices.ContainsFunc(r.statements, func(stmt statement.Statement) bool { return stmt.Kind == statement.CopyIn })
+}
+
 // runOnLease runs a request on the connection that the session holds.
 func (s *session) runOnLease(ctx context.Context, r *request) *failure {
 	lease := s.lease
@@ -397,7 +403,7 @@
 		lease.conn.Taint()
 		lease.release()
 
-		return &failure{err: err, server: server.Name}
+		return &failure{err: setupError(err), server: server.Name}
 	}
 
 	if s.server.parameters.Load() == nil {
@@ -420,6 +426,15 @@
 	return failed
 }
 
+// setupError returns the error of a statement of the proxy after which the request was not sent.
+func setupError(err error) error {
+	if backend.SQLState(err) != "" || result.CodeOf(err) != result.OK {
+		return err
+	}
+
+	return result.New(result.ServerUnreachable, "the connection to the backend server was lost before the request was sent: %w", err)
+}
+
 // chooseServer returns the server for a request that begins outside a transaction.
 func (s *session) chooseServer(ctx context.Context, r *request) (*registry.View, registry.Server, error) {
 	switch r.class {
