internal/proxy: end the count of a caller before it is told of the end

Callers saw AG1307, "2 callers are connected, which is the limit", for a connect right after the proxy had refused or ended their former session. In TestRefusals it hit the connect that follows the refused logins.

Cause: a login with a damaged token is refused by the session, after it was registered, and so is a session ended for any other reason. A session counted towards the caller limit until the caller had closed its connection, which the proxy awaits for up to 1 s after the error. Refusals by Accept were never counted.

Change: the server counts callers apart from sessions, and a session leaves the count before its last error is written, or as soon as the proxy reads that the caller has left. The session stays registered until its end, so that a drain still waits for it, and connections are bounded by the limit and its reserve as before.

Ruled out: the managed side has no limit of sessions or logins, and returns the unit of a customer's limit before the reply is written (session.settle).

Not changed: a caller that closes its connection and connects at once may be refused before the proxy has read the end, as with PostgreSQL.

--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"runtime"
 	"slices"
@@ -216,6 +218,66 @@
 	assert.Equal(t, "1205", codeOf(err))
 }
 
+// Guards against a caller that is refused because of its own former connection, although it has been told that the former
+// session has ended. The former connection stays open.
+func TestEndedSessionLeavesTheCallerLimit(t *testing.T) {
+	const callerLimit = 1
+
+	tests := []struct {
+		name       string
+		parameters map[string]string
+		message    string
+		want       string
+	}{
+		{"login with a damaged token", map[string]string{"almondgrade.token": "AAAAAAAA"}, "", "AG1204"},
+		{"message of an unknown kind", nil, "!\x00\x00\x00\x04", "AG1201"},
+		{"message that is too long", nil, "Q\x7f\xff\xff\xff", "AG1205"},
+		{"end by the caller", nil, "X\x00\x00\x00\x04", ""},
+	}
+
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, options{callerLimit: callerLimit})
+
+			former, err := net.Dial("tcp", c.proxies["p1"].address)
+			require.NoError(t, err)
+
+			defer func() { _ = former.Close() }()
+
+			startup := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{
+				"user": "app", "database": "app",
+			}}
+			for name, value := range test.parameters {
+				startup.Parameters[name] = value
+			}
+
+			encoded, err := startup.Encode(nil)
+			require.NoError(t, err)
+			_, err = former.Write(append(encoded, test.message...))
+			require.NoError(t, err)
+
+			told := ""
+
+			for messages := pgproto3.NewFrontend(former, former); told == ""; {
+				message, err := messages.Receive()
+				if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+					break
+				}
+
+				require.NoError(t, err)
+
+				if failure, failed := message.(*pgproto3.ErrorResponse); failed {
+					told, _, _ = strings.Cut(failure.Message, ":")
+				}
+			}
+
+			assert.Equal(t, test.want, told)
+			c.exec(c.connect("p1", ""), "SELECT 1")
+			assert.Equal(t, "1307", codeOf(connectError(t, c.url("p1", ""))), "the limit still counts the callers that are left")
+		})
+	}
+}
+
 // Guards against malformed messages of one caller that stop the proxy or disturb other callers.
 func TestBrokenCallers(t *testing.T) {
 	c := newCluster(t, options{replicas: 1})
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -79,6 +79,8 @@
 
 	mu       sync.Mutex
 	sessions map[uint32]*session
+	// callers counts the sessions that count towards the caller limit.
+	callers int
 	// connections counts all connections of callers: sessions, logins and cancel requests.
 	connections int
 	// accepting is true while the listener may return a connection.
@@ -335,18 +337,18 @@
 		return target{}, result.New(result.NotSupported, "replication connections are not supported")
 	}
 
-	if s.options.CallerLimit > 0 && s.countSessions() >= s.options.CallerLimit {
+	if s.options.CallerLimit > 0 && s.countCallers() >= s.options.CallerLimit {
 		return target{}, result.New(result.CallerLimit, "%d callers are connected, which is the limit", s.options.CallerLimit)
 	}
 
 	return findTarget(view, parameters["database"])
 }
 
-func (s *Server) countSessions() int {
+func (s *Server) countCallers() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return len(s.sessions)
+	return s.callers
 }
 
 // runSession registers a session and runs it.
@@ -387,8 +389,10 @@
 	switch {
 	case s.draining.Load():
 		return errDraining()
-	case s.options.CallerLimit > 0 && len(s.sessions) >= s.options.CallerLimit || len(s.sessions) >= sequenceLimit-1:
-		return result.New(result.CallerLimit, "%d callers are connected, which is the limit", len(s.sessions))
+	case s.options.CallerLimit > 0 && s.callers >= s.options.CallerLimit:
+		return result.New(result.CallerLimit, "%d callers are connected, which is the limit", s.callers)
+	case len(s.sessions) >= sequenceLimit-1:
+		return result.New(result.CallerLimit, "%d sessions exist, which is the limit", len(s.sessions))
 	}
 
 	for {
@@ -402,12 +406,28 @@
 	opened.sequence = s.sequence
 	opened.process = number<<sequenceBits | s.sequence
 	opened.secret = secret
+	opened.counted = true
+	s.callers++
 	s.sessions[s.sequence] = opened
 
 	return nil
 }
 
+// uncount ends the counting of a session towards the caller limit. A caller that learns that its session has ended may
+// connect again at once, while the proxy still waits for the end of the former connection.
+func (s *Server) uncount(ending *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if ending.counted {
+		ending.counted = false
+		s.callers--
+	}
+}
+
 func (s *Server) unregister(ended *session) {
+	s.uncount(ended)
+
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -484,9 +504,13 @@
 	return s.draining.Load()
 }
 
-// SessionCount returns the number of callers that are logged in.
+// SessionCount returns the number of sessions, including those whose callers have been told of the end and have not closed
+// their connections yet.
 func (s *Server) SessionCount() int {
-	return s.countSessions()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return len(s.sessions)
 }
 
 // closeNow ends all sessions and closes all connections without waiting for requests in progress.
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -56,6 +56,8 @@
 	sequence uint32
 	process  uint32
 	secret   []byte
+	// counted is true while the session counts towards the caller limit. The server's mutex protects it.
+	counted bool
 
 	// token holds the session's positions. Reads take their floor from it only if floorFromToken is set; otherwise they
 	// take a barrier.
@@ -222,6 +224,9 @@
 
 // endAfterError tells the caller why the session ends, unless the caller has left.
 func (s *session) endAfterError(err error) {
+	// A caller that has left need not wait for the end of its backend connection.
+	s.server.uncount(s)
+
 	if errors.Is(err, errCallerGone) || errors.Is(err, io.EOF) {
 		return
 	}
@@ -231,6 +236,7 @@
 
 // sendFatal sends the last error. The caller may have sent statements that are still unread.
 func (s *session) sendFatal(err error) {
+	s.server.uncount(s)
 	s.server.counters.countError(err)
 	s.caller.SendFatal(errorResponse(err))
 	s.caller.Linger()
