io/backend: return no data from a read after Conn.Abort

Callers of a proxy that reached the limit of its drain got the server's "57014 canceling statement due to user request" for a write, in place of a result code. They had cancelled nothing, and could not tell whether it ran.

Cause: at the limit the proxy aborts the connection by a deadline in the past and then cancels the statement at the server. The runtime makes the waiting goroutine runnable because of the deadline. If the server's answer to the cancel request arrives before that goroutine runs, the wait ends with data instead of the error, and the exchange relays the answer to its end.

Change: reads return ErrAborted once Abort was called, whatever has arrived. The cancel request follows the abort, so that its answer can't be read on any path: simple queries, batches, and the proxy's own statements for named requests. Writes get 1401, as when the answer does not arrive.

Ruled out: a late cancel request of another session. The connection is tainted under the session's lock before the request is sent, so that the pool closes it.

--- a/io/backend/activity.go
+++ b/io/backend/activity.go
@@ -47,12 +47,14 @@
 	return &ActivityChecker{options: options}
 }
 
-// monitoredConn counts the reads of a connection, which distinguishes a read that has waited for long from a new one.
+// monitoredConn counts the reads of a connection, which distinguishes a read that has waited for long from a new one. After
+// an abort it returns no data.
 type monitoredConn struct {
 	net.Conn
 
 	readCount atomic.Uint64
 	isReading atomic.Bool
+	aborted   atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -64,6 +66,11 @@
 
 	m.isReading.Store(false)
 
+	// Data that arrives before the goroutine that waits for it has noticed the deadline ends the wait without an error.
+	if m.aborted.Load() {
+		return 0, ErrAborted
+	}
+
 	return n, err
 }
 
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -111,10 +111,9 @@
 
 	// deadlineMu orders Abort and changes of the deadline.
 	deadlineMu sync.Mutex
-	aborted    bool
 }
 
-// ErrAborted is returned when a deadline is set after Conn.Abort.
+// ErrAborted is returned when data is read or a deadline is set after Conn.Abort.
 var ErrAborted = errors.New("the connection was aborted")
 
 // Open connects to a server and logs in. Its errors carry result.ServerUnreachable.
@@ -441,7 +440,7 @@
 	c.deadlineMu.Lock()
 	defer c.deadlineMu.Unlock()
 
-	if c.aborted {
+	if c.monitor.aborted.Load() {
 		return ErrAborted
 	}
 
@@ -455,7 +454,7 @@
 	c.deadlineMu.Lock()
 	defer c.deadlineMu.Unlock()
 
-	c.aborted = true
+	c.monitor.aborted.Store(true)
 	_ = c.net.SetDeadline(time.Unix(1, 0))
 }
 
