internal/proxy: end a late cancel before the next statement of its session

A caller could get "57014 canceling statement due to user request" for a statement of its transaction that nobody had cancelled: a cancel request for the statement before, whose deadline passed or whose cancellation arrived together with its answer, hit the next one on the same connection.

Cause: cancelOnDone compares the connection with the one that the session uses. If the function that cancels had started and not yet come to that comparison when the statement ended, the session did not wait for it, and the comparison found the same connection in use by the next statement.

Change: the end of a statement waits for that function whenever it has started, and not only once it has announced a request.

Ruled out: statements of other sessions. The comparison is with the session's own connection, and a connection is tainted before the request is sent, so that the pool closes it.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -133,6 +133,8 @@
 //
 //nolint:contextcheck // The request to cancel must outlive the context that ends.
 func (s *session) cancelOnDone(ctx context.Context, conn *backend.Conn) func() {
+	finished := make(chan struct{})
+
 	s.mu.Lock()
 	s.runningConn = conn
 	s.cancelDelivered = nil
@@ -143,6 +145,8 @@
 	s.mu.Unlock()
 
 	stop := context.AfterFunc(ctx, func() {
+		defer close(finished)
+
 		s.mu.Lock()
 		if s.runningConn != conn {
 			s.mu.Unlock()
@@ -150,30 +154,31 @@
 			return
 		}
 
-		delivered := make(chan struct{})
-		s.cancelDelivered = delivered
+		s.cancelDelivered = finished
 		conn.Taint()
 		s.mu.Unlock()
 
 		limited, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
-		defer close(delivered)
 
 		_ = conn.Cancel(limited)
 	})
 
 	return func() {
-		stop()
+		stopped := stop()
+
 		s.mu.Lock()
 		s.runningConn = nil
-		delivered := s.cancelDelivered
 		s.mu.Unlock()
 
-		if delivered != nil {
-			select {
-			case <-delivered:
-			case <-s.terminated:
-			}
+		if stopped {
+			return
+		}
+
+		// The function may not have come to its check of runningConn, which the next statement sets again.
+		select {
+		case <-finished:
+		case <-s.terminated:
 		}
 	}
 }
