internal/proxy: await the answer to a cancelled named request

Callers of a named request that ran into its deadline got 1401, the connection was lost, although the server answered that it had cancelled the statement.

Cause: the statement that records the request sets the connection's deadline to that of the request, which leaves no time for the answer to the cancel request.

Change: the deadline of the exchange is set again after that statement.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -94,6 +94,15 @@
 		return failed
 	}
 
+	if s.tx.requestName != "" {
+		// The statements that record the request have changed the deadline.
+		if err := lease.conn.SetDeadline(r.deadline.Add(cancelGrace)); err != nil {
+			_ = watchdog.stop(nil)
+
+			return x.namedRequestFailure(err)
+		}
+	}
+
 	stop := s.cancelOnDone(ctx, x.conn)
 	status, err := x.run()
 
--- a/internal/proxy/namedrequest_test.go
+++ b/internal/proxy/namedrequest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"almondgrade/core/result"
+	"almondgrade/core/settings"
 )
 
 // connectNotices returns a connection and the notices that it receives.
@@ -159,3 +161,38 @@
 	c.exec(other, "SET almondgrade.request = 'r'")
 	assert.Equal(t, "ran: INSERT 0 1", queryValue[string](t, other, "SHOW almondgrade.outcome"))
 }
+
+// Guards against a named request that is reported as unknown at its deadline, although the server answers that it has cancelled
+// the statement.
+func TestNamedRequestAwaitsTheAnswerToItsCancel(t *testing.T) {
+	c := newCluster(t, options{replicas: 1, timing: func(timing *settings.Timing) {
+		timing.Deadline = settings.Duration(time.Second)
+	}})
+	conn := c.connect("p1", "")
+	c.exec(conn, "CREATE TABLE t (id int primary key)")
+
+	requests := []struct {
+		name string
+		sql  []string
+	}{
+		{"single", []string{"INSERT INTO t VALUES (1); SELECT pg_sleep(20)"}},
+		{"transaction", []string{"BEGIN; INSERT INTO t VALUES (2)", "SELECT pg_sleep(20); COMMIT"}},
+	}
+
+	for _, request := range requests {
+		t.Run(request.name, func(t *testing.T) {
+			c.exec(conn, "SET almondgrade.request = '"+request.name+"'")
+
+			last := len(request.sql) - 1
+			for _, sql := range request.sql[:last] {
+				c.exec(conn, sql)
+			}
+
+			_, err := conn.Exec(testContext(t), request.sql[last])
+			assert.Equal(t, "57014", stateOf(err), "%v", err)
+			c.exec(conn, "ROLLBACK")
+			assert.Zero(t, queryValue[int64](t, conn, "SELECT count(*) FROM t"))
+			assert.Equal(t, "not run", queryValue[string](t, conn, "SHOW almondgrade.outcome"))
+		})
+	}
+}
