internal/proxy: name the timeout when a statement is cancelled at its deadline

Callers whose statement ran into the deadline of its traffic rule were told "57014 canceling statement due to user request", although nobody had cancelled it.

Cause: the proxy cancels the statement at the server, which takes every cancel request for the caller's, and the answer was relayed as it came.

Change: the text of that answer is replaced by the one that PostgreSQL has for statement_timeout, which the proxy enforces by the same deadline. The SQLSTATE stays, and the answer still is the server's, so that a statement that fails with it was rolled back. A caller's own cancel request is answered as before.

Ruled out: 1304, because the statement ran, and a procedure may have committed; 1401, because the server has answered.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -26,6 +26,7 @@
 	sqlStateAdminShutdown        = "57P01"
 	sqlStateCrashShutdown        = "57P02"
 	sqlStateCannotConnectNow     = "57P03"
+	sqlStateQueryCanceled        = "57014"
 )
 
 const (
@@ -146,7 +147,7 @@
 
 	s.mu.Lock()
 	s.runningConn = conn
-	s.cancelDelivered = nil
+	s.cancelDelivered, s.cancelCause = nil, nil
 
 	if s.ended {
 		conn.Abort()
@@ -164,6 +165,7 @@
 		}
 
 		s.cancelDelivered = finished
+		s.cancelCause = context.Cause(ctx)
 		conn.Taint()
 		s.mu.Unlock()
 
@@ -557,11 +559,31 @@
 		x.plan.skipRest()
 	}
 
+	if x.session.correctCancelText(&message) {
+		return x.session.caller.Send(&message)
+	}
+
 	x.session.caller.SendRaw('E', body)
 
 	return nil
 }
 
+// correctCancelText changes the text of the server's answer to a cancel request that the proxy has sent at the deadline, and
+// reports whether it did. The server takes every cancel request for the caller's.
+func (s *session) correctCancelText(message *pgproto3.ErrorResponse) bool {
+	s.mu.Lock()
+	cause := s.cancelCause
+	s.mu.Unlock()
+
+	if message.Code != sqlStateQueryCanceled || !errors.Is(cause, context.DeadlineExceeded) {
+		return false
+	}
+
+	message.Message = "canceling statement due to statement timeout"
+
+	return true
+}
+
 // mayRetry reports whether a request that failed with a SQLSTATE has not run, or only read, and may succeed on another
 // server.
 func (x *exchange) mayRetry(state string) bool {
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -218,6 +219,46 @@
 	assert.Equal(t, "1205", codeOf(err))
 }
 
+// Guards against a caller that is told of a user request when the proxy has cancelled its statement at the deadline.
+func TestCancelAtTheDeadlineIsNoUserRequest(t *testing.T) {
+	c := newCluster(t, options{replicas: 1, timing: func(timing *settings.Timing) {
+		timing.Deadline = settings.Duration(time.Second)
+	}})
+	check := c.connect("p1", "")
+	c.exec(check, "CREATE TABLE t (id int primary key)")
+
+	tests := []struct {
+		name  string
+		setup []string
+		sql   string
+		args  []any
+	}{
+		{"write", nil, "INSERT INTO t VALUES (1); SELECT pg_sleep(20)", nil},
+		{"batch", nil, "SELECT pg_sleep($1)", []any{20}},
+		{"transaction", []string{"BEGIN", "INSERT INTO t VALUES (2)"}, "SELECT pg_sleep(20)", nil},
+		{"named request", []string{"SET almondgrade.request = 'a'"}, "INSERT INTO t VALUES (3); SELECT pg_sleep(20)", nil},
+	}
+
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			conn := c.connect("p1", "")
+			for _, sql := range test.setup {
+				c.exec(conn, sql)
+			}
+
+			_, err := conn.Exec(testContext(t), test.sql, test.args...)
+
+			var failure *pgconn.PgError
+
+			require.ErrorAs(t, err, &failure)
+			assert.Equal(t, "57014", failure.Code)
+			assert.Equal(t, "canceling statement due to statement timeout", failure.Message)
+			c.exec(conn, "ROLLBACK")
+			assert.Zero(t, queryValue[int64](t, check, "SELECT count(*) FROM t"), "the statement was rolled back")
+		})
+	}
+}
+
 // Guards against a caller that is refused because of its own former connection, although it has been told that the former
 // session has ended. The former connection stays open.
 func TestEndedSessionLeavesTheCallerLimit(t *testing.T) {
--- a/internal/proxy/namedrequest.go
+++ b/internal/proxy/namedrequest.go
@@ -387,7 +387,10 @@
 	x.session.caller.DropHeldOutput()
 	x.failed = true
 
-	if failed := x.session.caller.Send(errorResponse(err)); failed != nil {
+	message := errorResponse(err)
+	x.session.correctCancelText(message)
+
+	if failed := x.session.caller.Send(message); failed != nil {
 		return 0, failed
 	}
 
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -98,7 +98,9 @@
 	runningConn   *backend.Conn
 	// cancelDelivered is closed when a cancel request to the backend server has been delivered.
 	cancelDelivered chan struct{}
-	ended           bool
+	// cancelCause is the reason for that request.
+	cancelCause error
+	ended       bool
 	// terminated is closed when ended is set.
 	terminated chan struct{}
 }
