--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -27,6 +27,7 @@
 	sqlStateAdminShutdown        = "57P01"
 	sqlStateCrashShutdown        = "57P02"
 	sqlStateCannotConnectNow     = "57P03"
+	sqlStateQueryCanceled        = "57014"
 )
 
 const (
@@ -100,6 +101,15 @@
 		return failed
 	}
 
+	if s.tx.requestName != "" {
+		// The statements that record the request have changed the deadline.
+		if err := lease.conn.SetDeadline(r.deadline.Add(cancelGrace)); err != nil {
+			_ = watchdog.stop(nil)
+
+			return x.namedRequestFailure(err)
+		}
+	}
+
 	stop := s.cancelOnDone(ctx, x.conn)
 	status, err := x.run()
 
@@ -139,9 +149,11 @@
 //
 //nolint:contextcheck // The request to cancel must outlive the context that ends.
 func (s *session) cancelOnDone(ctx context.Context, conn *backend.Conn) func() {
+	finished := make(chan struct{})
+
 	s.mu.Lock()
 	s.runningConn = conn
-	s.cancelDelivered = nil
+	s.cancelDelivered, s.cancelCause = nil, nil
 
 	if s.ended {
 		conn.Abort()
@@ -149,6 +161,8 @@
 	s.mu.Unlock()
 
 	stop := context.AfterFunc(ctx, func() {
+		defer close(finished)
+
 		s.mu.Lock()
 		if s.runningConn != conn {
 			s.mu.Unlock()
@@ -156,30 +170,32 @@
 			return
 		}
 
-		delivered := make(chan struct{})
-		s.cancelDelivered = delivered
+		s.cancelDelivered = finished
+		s.cancelCause = context.Cause(ctx)
 		conn.Taint()
 		s.mu.Unlock()
 
 		limited, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
-		defer close(delivered)
 
 		_ = conn.Cancel(limited)
 	})
 
 	return func() {
-		stop()
+		stopped := stop()
+
 		s.mu.Lock()
 		s.runningConn = nil
-		delivered := s.cancelDelivered
 		s.mu.Unlock()
 
-		if delivered != nil {
-			select {
-			case <-delivered:
-			case <-s.terminated:
-			}
+		if stopped {
+			return
+		}
+
+		// The function may not have come to its check of runningConn, which the next statement sets again.
+		select {
+		case <-finished:
+		case <-s.terminated:
 		}
 	}
 }
@@ -621,11 +637,31 @@
 		x.plan.skipRest()
 	}
 
+	if x.session.correctCancelText(&message) {
+		return x.session.caller.Send(&message)
+	}
+
 	x.session.caller.SendRaw('E', body)
 
 	return nil
 }
 
+// correctCancelText changes the text of the server's answer to a cancel request that the proxy has sent at the deadline, and
+// reports whether it did. The server takes every cancel request for the caller's.
+func (s *session) correctCancelText(message *pgproto3.ErrorResponse) bool {
+	s.mu.Lock()
+	cause := s.cancelCause
+	s.mu.Unlock()
+
+	if message.Code != sqlStateQueryCanceled || !errors.Is(cause, context.DeadlineExceeded) {
+		return false
+	}
+
+	message.Message = "canceling statement due to statement timeout"
+
+	return true
+}
+
 // mayRetry reports whether a request that failed with a SQLSTATE has not run, or only read, and may succeed on another
 // server.
 func (x *exchange) mayRetry(state string) bool {
--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"runtime"
 	"slices"
@@ -11,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -274,6 +277,106 @@
 	c.connect("p1", "&standard_conforming_strings=on&client_encoding=UTF8")
 }
 
+// Guards against a caller that is told of a user request when the proxy has cancelled its statement at the deadline.
+func TestCancelAtTheDeadlineIsNoUserRequest(t *testing.T) {
+	c := newCluster(t, options{replicas: 1, timing: func(timing *settings.Timing) {
+		timing.Deadline = settings.Duration(time.Second)
+	}})
+	check := c.connect("p1", "")
+	c.exec(check, "CREATE TABLE t (id int primary key)")
+
+	tests := []struct {
+		name  string
+		setup []string
+		sql   string
+		args  []any
+	}{
+		{"write", nil, "INSERT INTO t VALUES (1); SELECT pg_sleep(20)", nil},
+		{"batch", nil, "SELECT pg_sleep($1)", []any{20}},
+		{"transaction", []string{"BEGIN", "INSERT INTO t VALUES (2)"}, "SELECT pg_sleep(20)", nil},
+		{"named request", []string{"SET almondgrade.request = 'a'"}, "INSERT INTO t VALUES (3); SELECT pg_sleep(20)", nil},
+	}
+
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			conn := c.connect("p1", "")
+			for _, sql := range test.setup {
+				c.exec(conn, sql)
+			}
+
+			_, err := conn.Exec(testContext(t), test.sql, test.args...)
+
+			var failure *pgconn.PgError
+
+			require.ErrorAs(t, err, &failure)
+			assert.Equal(t, "57014", failure.Code)
+			assert.Equal(t, "canceling statement due to statement timeout", failure.Message)
+			c.exec(conn, "ROLLBACK")
+			assert.Zero(t, queryValue[int64](t, check, "SELECT count(*) FROM t"), "the statement was rolled back")
+		})
+	}
+}
+
+// Guards against a caller that is refused because of its own former connection, although it has been told that the former
+// session has ended. The former connection stays open.
+func TestEndedSessionLeavesTheCallerLimit(t *testing.T) {
+	const callerLimit = 1
+
+	tests := []struct {
+		name       string
+		parameters map[string]string
+		message    string
+		want       string
+	}{
+		{"login with a damaged token", map[string]string{"almondgrade.token": "AAAAAAAA"}, "", "AG1204"},
+		{"message of an unknown kind", nil, "!\x00\x00\x00\x04", "AG1201"},
+		{"message that is too long", nil, "Q\x7f\xff\xff\xff", "AG1205"},
+		{"end by the caller", nil, "X\x00\x00\x00\x04", ""},
+	}
+
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, options{callerLimit: callerLimit})
+
+			former, err := net.Dial("tcp", c.proxies["p1"].address)
+			require.NoError(t, err)
+
+			defer func() { _ = former.Close() }()
+
+			startup := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{
+				"user": "app", "database": "app",
+			}}
+			for name, value := range test.parameters {
+				startup.Parameters[name] = value
+			}
+
+			encoded, err := startup.Encode(nil)
+			require.NoError(t, err)
+			_, err = former.Write(append(encoded, test.message...))
+			require.NoError(t, err)
+
+			told := ""
+
+			for messages := pgproto3.NewFrontend(former, former); told == ""; {
+				message, err := messages.Receive()
+				if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+					break
+				}
+
+				require.NoError(t, err)
+
+				if failure, failed := message.(*pgproto3.ErrorResponse); failed {
+					told, _, _ = strings.Cut(failure.Message, ":")
+				}
+			}
+
+			assert.Equal(t, test.want, told)
+			c.exec(c.connect("p1", ""), "SELECT 1")
+			assert.Equal(t, "1307", codeOf(connectError(t, c.url("p1", ""))), "the limit still counts the callers that are left")
+		})
+	}
+}
+
 // Guards against malformed messages of one caller that stop the proxy or disturb other callers.
 func TestBrokenCallers(t *testing.T) {
 	c := newCluster(t, options{replicas: 1})
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -56,6 +56,8 @@
 	sequence uint32
 	process  uint32
 	secret   []byte
+	// counted is true while the session counts towards the caller limit. The server's mutex protects it.
+	counted bool
 
 	// token holds the session's positions. Reads take their floor from it only if floorFromToken is set; otherwise they
 	// take a barrier.
@@ -96,7 +98,9 @@
 	runningConn   *backend.Conn
 	// cancelDelivered is closed when a cancel request to the backend server has been delivered.
 	cancelDelivered chan struct{}
-	ended           bool
+	// cancelCause is the reason for that request.
+	cancelCause error
+	ended       bool
 	// terminated is closed when ended is set.
 	terminated chan struct{}
 }
@@ -254,6 +258,9 @@
 
 // endAfterError tells the caller why the session ends, unless the caller has left.
 func (s *session) endAfterError(err error) {
+	// A caller that has left need not wait for the end of its backend connection.
+	s.server.uncount(s)
+
 	if errors.Is(err, errCallerGone) || errors.Is(err, io.EOF) {
 		return
 	}
@@ -263,6 +270,7 @@
 
 // sendFatal sends the last error. The caller may have sent statements that are still unread.
 func (s *session) sendFatal(err error) {
+	s.server.uncount(s)
 	s.server.counters.countError(err)
 	s.caller.SendFatal(errorResponse(err))
 	s.caller.Linger()
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -113,10 +113,9 @@
 
 	// deadlineMu orders Abort and changes of the deadline.
 	deadlineMu sync.Mutex
-	aborted    bool
 }
 
-// ErrAborted is returned when a deadline is set after Conn.Abort.
+// ErrAborted is returned when data is read or a deadline is set after Conn.Abort.
 var ErrAborted = errors.New("the connection was aborted")
 
 // Open connects to a server and logs in. Its errors carry result.ServerUnreachable.
@@ -512,7 +511,7 @@
 	c.deadlineMu.Lock()
 	defer c.deadlineMu.Unlock()
 
-	if c.aborted {
+	if c.monitor.aborted.Load() {
 		return ErrAborted
 	}
 
@@ -526,7 +525,7 @@
 	c.deadlineMu.Lock()
 	defer c.deadlineMu.Unlock()
 
-	c.aborted = true
+	c.monitor.aborted.Store(true)
 	_ = c.net.SetDeadline(time.Unix(1, 0))
 }
 
