--- a/core/pairing/doc.go
+++ b/core/pairing/doc.go
@@ -10,18 +10,19 @@
 //   - An answer without a signature can be a repetition only if it equals an earlier one. If it does, and if it could also
 //     be the answer to the command that was sent last, it is ambiguous.
 //
-// After an ambiguous failure of a command whose answer would have had a signature, the client resolves the doubt before
-// it sends another such command: it sends a command without a signature. If the failure was a repetition, the
-// genuine answer arrives before the answer to that, as a late one.
+// After an ambiguous failure of a command whose answer would have had a signature, the client resolves the doubt before it
+// sends another such command: it sends one or more commands without a signature, the last of which has Resolves set. If the failure
+// was a repetition, the genuine answer arrives before theirs, as a late one. A first failure is ambiguous as well behind an
+// ambiguous success, because the answer to the command of that may still arrive.
 //
-// A client that knows that the server repeats answers calls Distrust, and drops what has arrived before it sends the next
-// command.
+// A client that knows that the server repeats answers calls Distrust. What arrives while no command is outstanding is given to
+// Drop.
 //
 // # Limits
 //
 // A Tracker remembers signatures for 30 s of use and the last 64 other answers. A repetition of an older answer is taken
-// for a genuine one. Two repetitions at the same moment, one of a refusal and one of the command that resolves the doubt, are
-// not told apart either.
+// for a genuine one, and so is the last of as many repetitions at the same moment as there are commands that resolve the doubt and
+// one more.
 //
 // A Tracker has no clock and is not safe for concurrent use.
 //
