core/statement, internal/proxy: read constants as servers do

A caller whose driver quotes a value with a backslash, as E'a\\b', set another application_name or name of a request than it meant, so that the request was not found under its name when it was set at login. Unquoted names kept their capitals, and values that the proxy does not understand, such as lists, were taken for empty ones.

Cause: the proxy took the text between the quotes, and an empty text for several tokens.

Change: Literal is the value as servers read it. Where that is not known, because of escapes by number or several tokens, parameters that the proxy itself keeps are refused with 22023 in place of being set to something else.

--- a/core/statement/reading.go
+++ b/core/statement/reading.go
@@ -40,7 +40,8 @@
 func changesReading(statement *Statement, tokens []token) bool {
 	switch statement.Kind {
 	case Set:
-		return ChangesReading(statement.Name, statement.Literal)
+		// A value that is not known may be any.
+		return ChangesReading(statement.Name, statement.Literal) || !statement.HasLiteral && strings.EqualFold(statement.Name, "client_encoding")
 	case Write:
 	default:
 		return false
--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -48,8 +48,10 @@
 	// Name and Value are set for some kinds. Value is SQL text that can follow SET NAME =.
 	Name  string
 	Value string
-	// Literal is Value without quotes. It is empty unless the value is a single token.
-	Literal string
+	// Literal is the value as servers read it. HasLiteral is false if that is not known: the value is not a single token, or it
+	// has escapes for the numbers of characters.
+	Literal    string
+	HasLiteral bool
 	// All distinguishes DEALLOCATE ALL from DEALLOCATE of a statement with that name.
 	All bool
 	// ReadOnly is true for BEGIN READ ONLY.
@@ -402,7 +404,7 @@
 
 	result := Statement{Kind: Set, Name: name, Local: local, Value: text[value[0].start:value[len(value)-1].end]}
 	if len(value) == 1 {
-		result.Literal = value[0].text
+		result.Literal, result.HasLiteral = value[0].literal(text)
 	}
 
 	if len(value) == 1 && value[0].isKeyword("default") {
--- a/core/statement/statement_test.go
+++ b/core/statement/statement_test.go
@@ -236,6 +236,29 @@
 	}
 }
 
+// Guards against values that the proxy takes from a statement otherwise than a server would, such as the name of a request
+// that a driver has quoted with backslashes.
+func TestLiteralsAreReadAsServersDo(t *testing.T) {
+	t.Parallel()
+
+	for value, want := range map[string]string{
+		"'a b'": "a b", "'it''s'": "it's", `'a\b'`: `a\b`, `E'a\\b'`: `a\b`, `e'it\'s ''x'`: "it's 'x", `E'\n\t'`: "\n\t", "$x$a'b$x$": "a'b",
+		"Name": "name", `"Name"`: "Name", "12.5": "12.5", "on": "on", "''": "", "'\xff'": "\xff",
+	} {
+		found := statement.Classify("SET a = " + value)
+		require.Len(t, found, 1, value)
+		assert.Equal(t, want, found[0].Literal, value)
+		assert.True(t, found[0].HasLiteral, value)
+	}
+
+	for _, value := range []string{`E'\x61'`, `E'\141'`, `E'\u0061'`, `U&'\0061'`, `U&"\0061"`, "a, b", "-5", "B'1'", "X'1F'", "N'a'", "$1", "'a' 'b'", `E'a\`} {
+		found := statement.Classify("SET a = " + value)
+		require.Len(t, found, 1, value)
+		assert.Empty(t, found[0].Literal, value)
+		assert.False(t, found[0].HasLiteral, value)
+	}
+}
+
 // Guards against settings that get another value on the next connection of their session, because the prefix of a string
 // is lost.
 func TestValuesOfSettingsKeepTheirText(t *testing.T) {
--- a/internal/proxy/local.go
+++ b/internal/proxy/local.go
@@ -87,6 +87,10 @@
 
 	switch stmt.Kind {
 	case statement.Set:
+		if !stmt.HasLiteral {
+			return reply{}, errNoLiteral(stmt)
+		}
+
 		s.application = stmt.Literal
 
 		return reply{tag: tagSet}, s.caller.Send(&pgproto3.ParameterStatus{Name: applicationParameter, Value: s.application})
@@ -127,11 +131,20 @@
 	}
 }
 
+// errNoLiteral is the error for an assignment whose value the proxy does not know.
+func errNoLiteral(stmt *statement.Statement) error {
+	return &sqlError{code: "22023", text: stmt.Name + " must be set to one constant without escapes by number"}
+}
+
 func (s *session) answerProxyParameter(ctx context.Context, stmt *statement.Statement) (reply, error) {
 	name := strings.TrimPrefix(stmt.Name, statement.ParameterPrefix)
 
 	switch stmt.Kind {
 	case statement.Set:
+		if !stmt.HasLiteral {
+			return reply{}, errNoLiteral(stmt)
+		}
+
 		return reply{tag: tagSet}, s.setProxyParameter(name, stmt.Literal)
 	case statement.Reset:
 		return reply{tag: tagReset}, s.setProxyParameter(name, "")
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -421,3 +421,22 @@
 
 	assert.Positive(t, c.forwardCancelCalls.Load())
 }
+
+// Guards against a request or application that gets another name than its caller has set, because the proxy reads the constant
+// otherwise than a server would, and against a value that is dropped.
+func TestProxyParametersKeepTheirValues(t *testing.T) {
+	c := newCluster(t, options{replicas: 1})
+	conn := c.connect("p1", "")
+
+	for _, parameter := range []string{"application_name", "almondgrade.request"} {
+		for constant, want := range map[string]string{`E'a\\b\''`: `a\b'`, `'a\b'`: `a\b`, "Name": "name", "'a\nb'": "a\nb", "$$a'b$$": "a'b"} {
+			c.exec(conn, "SET "+parameter+" = "+constant)
+			assert.Equal(t, want, queryValue[string](t, conn, "SHOW "+parameter), "%s = %s", parameter, constant)
+		}
+
+		for _, constant := range []string{`U&'\0061'`, `E'\x61'`, "-5", "a, b", "B'1'"} {
+			_, err := conn.Exec(testContext(t), "SET "+parameter+" = "+constant)
+			assert.ErrorContains(t, err, "22023", "%s = %s", parameter, constant)
+		}
+	}
+}
