managedcontroller: ignore failures from before a server became primary

Seen: in the whole-system test of changes of primary that follows, a new primary was replaced 2 ms after its takeover had ended ("takeover begins ... probes=healthy ... sights=[{Reached:false Failing:3.71s} {Reached:false Failing:3.96s}]"). With the former primary down, one of the two other servers was left, too few where syncReplicas is 1, and the group had no primary for 12 s, until the server that was down was forgotten.

Cause: the server had been down as an earlier primary. The proxies had not used it since, so that they reported it as failing for seconds once it was their primary again.

Change: the time for which a proxy has failed to reach a primary counts from the moment at which this leadership recorded it as the primary.

Remains: a leadership that begins right after such a takeover counts the whole time.

Ruled out as a cause: repeated answers, which the test that reproduces it does not have.

--- a/core/promotion/judge.go
+++ b/core/promotion/judge.go
@@ -34,7 +34,7 @@
 type ProxyReport struct {
 	// Reached is true if the primary has answered the proxy after the proxy's last failure.
 	Reached bool
-	// Failing is the time for which the proxy has failed to reach the primary.
+	// Failing is the time for which the proxy has failed to reach the primary, since it became the primary.
 	Failing time.Duration
 }
 
--- a/internal/managedcontroller/supervisor.go
+++ b/internal/managedcontroller/supervisor.go
@@ -35,6 +35,8 @@
 	detector   *failover.Detector
 	// monitored is the ID of the primary that the detector observes.
 	monitored string
+	// primarySince is the time at which this supervisor recorded the primary, or zero if an earlier leadership did.
+	primarySince time.Time
 	// firstFailure and lastFailure are the beginnings of the first and last of the consecutive failures that the detector
 	// has counted, or zero.
 	firstFailure time.Time
@@ -102,6 +104,7 @@
 		return false
 	}
 
+	s.primarySince = time.Now()
 	_, err := s.leadership.controller.propose(s.leadership.ctx, topology.Command{
 		AdoptPrimary: &topology.AdoptPrimary{Group: s.group, Primary: primary, ExpectedPrimary: group.Primary, Term: state.term},
 	})
@@ -146,7 +149,10 @@
 
 	now := time.Now()
 	for _, reachability := range s.leadership.reachabilityOf(now, group.Primary) {
-		evidence.ProxyReports = append(evidence.ProxyReports, promotion.ProxyReport{Reached: reachability.Reached, Failing: reachability.FailingFor})
+		// A proxy may not have used the server since it was down as a replica or a former primary.
+		evidence.ProxyReports = append(evidence.ProxyReports, promotion.ProxyReport{
+			Reached: reachability.Reached, Failing: min(reachability.FailingFor, now.Sub(s.primarySince)),
+		})
 	}
 
 	if promotion.JudgePrimary(evidence) != promotion.Replace || len(s.replicas(view, group)) == 0 {
--- a/internal/managedcontroller/takeover.go
+++ b/internal/managedcontroller/takeover.go
@@ -362,6 +362,7 @@
 }
 
 func (s *groupSupervisor) finishTakeover(group topology.Group, term position.Term) {
+	s.primarySince = time.Now()
 	_, err := s.leadership.controller.propose(s.leadership.ctx, topology.Command{
 		FinishTakeover: &topology.FinishTakeover{Group: s.group, Token: group.Token, Primary: group.Candidate, Term: term},
 	})
