--- a/internal/proxy/repeated_test.go
+++ b/internal/proxy/repeated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -22,6 +23,8 @@
 	"github.com/stretchr/testify/require"
 )
 
+var repeatsSeed = flag.Uint64("repeats.seed", 1, "the seed of tests with repeated answers")
+
 // repeater is a network path to a backend server on which answers arrive a second time.
 type repeater struct {
 	listener net.Listener
@@ -322,11 +325,12 @@
 // statement was sent.
 func TestRepeatedAnswersDoNotReachOtherRequests(t *testing.T) {
 	const (
-		seed     = 1
 		clients  = 8
 		requests = 150
 	)
 
+	seed := *repeatsSeed
+
 	tests := []struct {
 		name    string
 		answers int
