managedproxy: use one check more at servers that repeat answers

Cause: two repetitions among the answers to one group of setup commands hid a refusal from the single check behind them. An EXECUTE that met an unknown name, which shows that, did not lead to another PREPARE.

Change: at a server that is known to repeat answers one check more goes behind setup commands and doubtful refusals, and a read with a doubtful refusal leads to a reset. An unknown name leads to one at any server.

--- a/internal/managedproxy/ambiguous_test.go
+++ b/internal/managedproxy/ambiguous_test.go
@@ -124,7 +124,12 @@
 		},
 		{"refused value", Idle, false, []Command{set, read}, []Answer{failed, {}}, []Kind{Set, Check}, failed, errSetup, true, true},
 		{"value that was refused behind a repetition", Idle, false, []Command{set, read}, []Answer{{}, failed}, []Kind{Set, Check}, failed, errSetup, true, true},
-		{"refused value at a server that repeats answers", Idle, true, []Command{set, read}, []Answer{failed, {}}, []Kind{Set, Check}, failed, errSetup, false, true},
+		{"refused value at a server that repeats answers", Idle, true, []Command{set, read}, []Answer{failed, {}, {}}, []Kind{Set, Check, Check}, failed, errSetup, false, true},
+		{"read at a server that repeats answers", Idle, true, []Command{read}, []Answer{busy}, []Kind{Read}, busy, nil, true, true},
+		{
+			"statement whose name is unknown though it was prepared", Idle, false, []Command{{Statement: Statement{Kind: Execute}}},
+			[]Answer{{Outcome: UnknownStatement}}, []Kind{Execute}, Answer{Outcome: UnknownStatement}, nil, true, true,
+		},
 		{"refused check", Idle, false, []Command{set, read}, []Answer{{}, malformed}, []Kind{Set, Check}, malformed, errSetup, true, true},
 		{
 			"transaction", Idle, false, []Command{begin, read}, []Answer{opened, opened, signedOpen}, []Kind{Begin, Check, Read}, signedOpen, nil, false, false,
--- a/internal/managedproxy/conn.go
+++ b/internal/managedproxy/conn.go
@@ -1,6 +1,7 @@
 package managedproxy
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -91,6 +92,9 @@
 		switch command.Kind {
 		case Reset, Set, Prepare:
 			c.setupUncertain = c.setupUncertain || outcome.Ran()
+		case Execute:
+			// The refusal of the PREPARE was not read as such.
+			c.setupUncertain = c.setupUncertain || outcome == UnknownStatement
 		default:
 		}
 
@@ -159,15 +163,15 @@
 
 // setUp sends commands that set up the connection. It returns the first answer that is not Done together with errSetup.
 //
-// A check follows the commands: if one of the answers is a repetition, the success of the last command shows in the answer
-// to the check, and a refusal does as well.
+// A check follows the commands: if one of the answers is a repetition, that to the last command is read as the answer to the
+// check, and shows there.
 func (c *conn) setUp(deadline time.Time, setup []Command) (Answer, error) {
 	state := c.state
 	if len(setup) > 0 && slices.Contains([]Kind{Begin, BeginRead}, setup[len(setup)-1].Kind) {
 		state = Open
 	}
 
-	answers, err := c.send(deadline, append(slices.Clone(setup), c.check())...)
+	answers, err := c.send(deadline, append(slices.Clone(setup), c.checks(1)...)...)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -195,10 +199,20 @@
 	return Answer{}, nil
 }
 
-// check returns a command that changes nothing that sessions use, is possible in a transaction and outside, and whose success
-// has no signature.
-func (c *conn) check() Command {
-	return Command{Statement: Statement{Kind: Check}, Undo: c.checkPrepared, Resolves: true}
+// checks returns commands that change nothing that sessions use, are possible in a transaction and outside, and whose
+// success has no signature. As many repetitions as there are checks show. At a server that is known to repeat answers there is
+// one more than the given number.
+func (c *conn) checks(count int) []Command {
+	if c.server.answers.repeats.Load() {
+		count++
+	}
+
+	checks := make([]Command, count)
+	for i := range checks {
+		checks[i] = Command{Statement: Statement{Kind: Check}, Undo: c.checkPrepared != (i%2 == 1), Resolves: i == count-1}
+	}
+
+	return checks
 }
 
 // resolve finds out whether a failure of a statement may be a repetition of an earlier one, in which case the answer to the
@@ -207,34 +221,31 @@
 	if c.stateBefore == Idle && !statement.Writes && statement.Kind != Commit {
 		// A read may run again at once. The check is sent before the connection is used again.
 		c.unresolved = true
+		c.setupUncertain = c.setupUncertain || c.server.answers.repeats.Load()
 
 		return failure, nil
 	}
 
-	// Of two checks, one shows the statement's answer also if a repeated answer passes for that to the other one.
-	first, second := c.check(), c.check()
-	first.Resolves, second.Undo = false, !first.Undo
-
-	answers, err := c.send(deadline, first, second)
+	answers, err := c.send(deadline, c.checks(2)...)
 	if err != nil {
 		return Answer{}, err
 	}
 
-	settled := answers[1]
-	if settled.Late == nil {
-		settled.Late = answers[0].Late
-	}
+	var late *Answer
+
+	allDone := true
 
-	if answers[0].Outcome != Done {
-		settled.Outcome = answers[0].Outcome
+	for i := range answers {
+		late = cmp.Or(late, answers[i].Late)
+		allDone = allDone && answers[i].Outcome == Done
 	}
 
 	switch {
-	case settled.Late != nil:
-		c.broken = c.broken || settled.Outcome != Done || settled.State != settled.Late.State
+	case late != nil:
+		c.broken = c.broken || !allDone || c.state != late.State
 
-		return *settled.Late, nil
-	case settled.Outcome == Done && settled.State == failure.State:
+		return *late, nil
+	case allDone && c.state == failure.State:
 		return failure, nil
 	}
 
