managedproxy: confirm rollbacks, and leave a session that is in another state

Cause, from both logs: a server refused a caller's ROLLBACK, and a repeated success passed for its answer. The connection went back to the pool with the transaction open. The RESET that followed was answered three times in the state of a transaction; each answer was passed over as a repetition, until three real repetitions in the expected state arrived 20 and 45 ms later.

Change: a check goes behind each rollback. If it shows anything else than the state of the rollback's answer, the connection is closed, which rolls back as well. After one answer in another state than the expected one, a second one ends the connection; the statement was not sent and may run elsewhere.

Evidence: "ROLLBACK refused behind a repetition, server not known to repeat" of TestRefusalsBehindRepeatedAnswers failed before and passes. TestJudge has the session in another state.

--- a/core/pairing/tracker.go
+++ b/core/pairing/tracker.go
@@ -66,6 +66,10 @@
 // ones.
 const rememberedOthers = 64
 
+// maxMismatches bounds the answers that are passed over because of their state. Where several in turn have another state than the
+// expected one, the session is in that state.
+const maxMismatches = 1
+
 // Tracker judges the answers on one connection.
 type Tracker[S, P comparable] struct {
 	seed maphash.Seed
@@ -85,6 +89,8 @@
 	// uncertain is true if an answer without a signature was taken that may be a repetition, so that the answer to its command may
 	// still arrive.
 	uncertain bool
+	// mismatches counts the answers with another state than the expected one since the last command that resolves.
+	mismatches int
 }
 
 // NewTracker returns a tracker for a connection whose login was answered with a greeting.
@@ -125,11 +131,19 @@
 
 		return Invalid
 	case repeats && !command.AnyState && answer.State != command.State:
+		t.mismatches++
+		if t.mismatches > maxMismatches {
+			return Invalid
+		}
+
 		return Repeated
 	}
 
 	t.signsNone = !t.signsOthers
-	t.unresolved = t.unresolved && !command.Resolves
+
+	if command.Resolves {
+		t.unresolved, t.mismatches = false, 0
+	}
 
 	if repeats {
 		t.uncertain = true
--- a/core/pairing/tracker_test.go
+++ b/core/pairing/tracker_test.go
@@ -100,6 +100,13 @@
 		{"repeated success with another state", []step{
 			{begin, unsigned(open), pairing.Genuine}, {set, unsigned(open), pairing.Repeated}, {set, unsigned(idle), pairing.Genuine},
 		}},
+		{"session in another state", []step{
+			{begin, unsigned(open), pairing.Genuine}, {set, unsigned(open), pairing.Repeated}, {set, unsigned(open), pairing.Invalid},
+		}},
+		{"two repetitions in another state, one of them resolved", []step{
+			{begin, unsigned(open), pairing.Genuine}, {set, unsigned(open), pairing.Repeated}, {check, unsigned(idle), pairing.Genuine},
+			{set, unsigned(open), pairing.Repeated}, {set, unsigned(idle), pairing.Ambiguous},
+		}},
 		{"repeated success with the same state", []step{{set, unsigned(idle), pairing.Genuine}, {set, unsigned(idle), pairing.Ambiguous}}},
 		{"repeated greeting", []step{{read, answer{State: idle}, pairing.Repeated}, {set, answer{State: idle}, pairing.Repeated}}},
 		{"greeting in another state", []step{{read, answer{State: open}, pairing.Invalid}}},
--- a/internal/managedproxy/ambiguous_test.go
+++ b/internal/managedproxy/ambiguous_test.go
@@ -56,6 +56,7 @@
 	write.Writes = true
 
 	begin, set := Command{Statement: Statement{Kind: Begin}}, Command{Statement: Statement{Kind: Set}}
+	rollback := Command{Statement: Statement{Kind: Rollback}}
 	opened, signedOpen := Answer{State: Open}, Answer{Signature: "signed", State: Open}
 	failed, malformed := Answer{Outcome: Failed}, Answer{Outcome: OtherFailure}
 
@@ -125,6 +126,10 @@
 		{"refused value", Idle, false, []Command{set, read}, []Answer{failed, {}}, []Kind{Set, Check}, failed, errSetup, true, true},
 		{"value that was refused behind a repetition", Idle, false, []Command{set, read}, []Answer{{}, failed}, []Kind{Set, Check}, failed, errSetup, true, true},
 		{"refused value at a server that repeats answers", Idle, true, []Command{set, read}, []Answer{failed, {}, {}}, []Kind{Set, Check, Check}, failed, errSetup, false, true},
+		{"rollback", Open, false, []Command{rollback}, []Answer{{}, {}}, []Kind{Rollback, Check}, Answer{}, nil, true, false},
+		{"rollback that was refused", Open, false, []Command{rollback}, []Answer{busyOpen, opened}, []Kind{Rollback, Check}, busyOpen, nil, false, false},
+		{"rollback that was refused behind a repetition", Open, false, []Command{rollback}, []Answer{{}, busyOpen}, []Kind{Rollback, Check}, Answer{}, nil, false, false},
+		{"rollback behind which the transaction is open", Open, false, []Command{rollback}, []Answer{{}, opened}, []Kind{Rollback, Check}, Answer{}, nil, false, false},
 		{"read at a server that repeats answers", Idle, true, []Command{read}, []Answer{busy}, []Kind{Read}, busy, nil, true, true},
 		{
 			"statement whose name is unknown though it was prepared", Idle, false, []Command{{Statement: Statement{Kind: Execute}}},
--- a/internal/managedproxy/conn.go
+++ b/internal/managedproxy/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
@@ -113,9 +114,6 @@
 		c.preparedNames[command.Prepared] = true
 	case Check:
 		c.checkPrepared = !command.Undo
-	case Rollback:
-		// A repeated answer may hide that the rollback has failed; the answer to a reset shows the state again.
-		c.setupUncertain = c.setupUncertain || c.server.answers.repeats.Load()
 	default:
 	}
 }
@@ -141,6 +139,10 @@
 		}
 	}
 
+	if last.Kind == Rollback {
+		return c.rollBack(deadline, last)
+	}
+
 	answers, err := c.send(deadline, last)
 	if err != nil {
 		return Answer{}, err
@@ -153,6 +155,23 @@
 	return answers[0], nil
 }
 
+// rollBack sends a rollback with checks behind it. If its success may be a repetition, the connection is closed, which rolls back
+// as well.
+func (c *conn) rollBack(deadline time.Time, rollback Command) (Answer, error) {
+	answers, err := c.send(deadline, append([]Command{rollback}, c.checks(1)...)...)
+	if err != nil {
+		return Answer{}, err
+	}
+
+	for _, answer := range answers[1:] {
+		c.broken = c.broken || answer.Outcome != Done
+	}
+
+	c.broken = c.broken || c.state != answers[0].State
+
+	return answers[0], nil
+}
+
 // dropUnexpected drops what has arrived although every command was answered.
 func (c *conn) dropUnexpected() {
 	if dropped := c.backend.DropUnexpected(c.server.answers.repeats.Load()); dropped > 0 {
@@ -172,7 +191,12 @@
 	}
 
 	answers, err := c.send(deadline, append(slices.Clone(setup), c.checks(1)...)...)
-	if err != nil {
+
+	switch {
+	case errors.Is(err, ErrUnexpectedAnswer):
+		// The server answers; the statement was not sent.
+		return Answer{Outcome: OtherFailure, Detail: err.Error()}, errSetup
+	case err != nil:
 		return Answer{}, err
 	}
 
