core/pairing: pass over answers whose position is before an earlier one's

Suspected cause, by reading: a write that waits for a replica takes long enough for several repetitions to arrive, of a refusal and of as many successes without a signature as checks were sent behind it. They passed for the answers to the write and the checks, and the write was sent again.

Change: an answer without a signature that equals an earlier one, at a position before one that the connection has seen, is a repetition. Where two in turn do, the connection is closed, as with states.

TestJudge has both cases.

--- a/core/pairing/tracker.go
+++ b/core/pairing/tracker.go
@@ -60,14 +60,16 @@
 	// Position is the position of the server's log. A repetition has that of the first answer, and a server that is known to
 	// repeat answers is not relied upon for that.
 	Position P
+	// Old is true if the position is before that of an earlier answer. Positions don't go back.
+	Old bool
 }
 
 // rememberedOthers bounds the answers without a signature that are remembered. A connection rarely gets more than ten different
 // ones.
 const rememberedOthers = 64
 
-// maxMismatches bounds the answers that are passed over because of their state. Where several in turn have another state than the
-// expected one, the session is in that state.
+// maxMismatches bounds the answers that are passed over because of their state or position. Where several in turn have another one
+// than the expected one, the session has it.
 const maxMismatches = 1
 
 // Tracker judges the answers on one connection.
@@ -89,7 +91,7 @@
 	// uncertain is true if an answer without a signature was taken that may be a repetition, so that the answer to its command may
 	// still arrive.
 	uncertain bool
-	// mismatches counts the answers with another state than the expected one since the last command that resolves.
+	// mismatches counts the answers that were passed over because of their state or position since the last command that resolves.
 	mismatches int
 }
 
@@ -111,6 +113,10 @@
 
 	repeats := !t.others.add(t.digest(answer, false))
 
+	if repeats && answer.Old {
+		return t.passOver()
+	}
+
 	if answer.Kind == Failure {
 		repeatsPosition := !t.failures.add(t.digest(answer, true))
 
@@ -131,12 +137,7 @@
 
 		return Invalid
 	case repeats && !command.AnyState && answer.State != command.State:
-		t.mismatches++
-		if t.mismatches > maxMismatches {
-			return Invalid
-		}
-
-		return Repeated
+		return t.passOver()
 	}
 
 	t.signsNone = !t.signsOthers
@@ -154,6 +155,16 @@
 	return Genuine
 }
 
+// passOver returns the verdict on an answer with an impossible state or position that equals an earlier answer otherwise.
+func (t *Tracker[S, P]) passOver() Verdict {
+	t.mismatches++
+	if t.mismatches > maxMismatches {
+		return Invalid
+	}
+
+	return Repeated
+}
+
 // judgeFailure returns the verdict on a failure, which repeats an earlier answer or not.
 func (t *Tracker[S, P]) judgeFailure(command Command[S], repeats bool) Verdict {
 	switch {
--- a/core/pairing/tracker_test.go
+++ b/core/pairing/tracker_test.go
@@ -100,6 +100,14 @@
 		{"repeated success with another state", []step{
 			{begin, unsigned(open), pairing.Genuine}, {set, unsigned(open), pairing.Repeated}, {set, unsigned(idle), pairing.Genuine},
 		}},
+		{"repetition at an earlier position", []step{
+			{set, unsigned(idle), pairing.Genuine}, {check, answer{Kind: pairing.Success, State: idle, Old: true}, pairing.Repeated},
+			{check, unsigned(idle), pairing.Ambiguous}, {read, refused("BUSY"), pairing.Ambiguous},
+		}},
+		{"positions that go back", []step{
+			{set, unsigned(idle), pairing.Genuine}, {set, answer{Kind: pairing.Success, State: idle, Old: true}, pairing.Repeated},
+			{set, answer{Kind: pairing.Success, State: idle, Old: true}, pairing.Invalid},
+		}},
 		{"session in another state", []step{
 			{begin, unsigned(open), pairing.Genuine}, {set, unsigned(open), pairing.Repeated}, {set, unsigned(open), pairing.Invalid},
 		}},
