--- a/core/pairing/tracker.go
+++ b/core/pairing/tracker.go
@@ -128,6 +128,11 @@
 		return t.judgeFailure(command, repeatsPosition || repeats && t.distrusts)
 	}
 
+	return t.judgeSuccess(command, answer, repeats)
+}
+
+// judgeSuccess returns the verdict on a success or a greeting without a signature, which repeats an earlier answer or not.
+func (t *Tracker[S, P]) judgeSuccess(command Command[S], answer Answer[S, P], repeats bool) Verdict {
 	switch {
 	case answer.Kind == Greeting || command.Signed:
 		// A success without the signature that it must have, or a greeting amid the session.
