managedproxy: count a rollback as done once its connection is closed

Cause: a repeated refusal was taken for the answer to a rollback that ran. The check behind it showed another state, so that the connection was to be closed, but the refusal was returned, and the rollback was sent again on the same connection.

Change: a rollback whose check shows another state is done, because closing the connection rolls back. "rollback that ran behind a repeated refusal" of TestAmbiguousRefusals guards against it.

--- a/internal/managedproxy/ambiguous_test.go
+++ b/internal/managedproxy/ambiguous_test.go
@@ -129,6 +129,7 @@
 		{"rollback", Open, false, []Command{rollback}, []Answer{{}, {}}, []Kind{Rollback, Check}, Answer{}, nil, true, false},
 		{"rollback that was refused", Open, false, []Command{rollback}, []Answer{busyOpen, opened}, []Kind{Rollback, Check}, busyOpen, nil, false, false},
 		{"rollback that was refused behind a repetition", Open, false, []Command{rollback}, []Answer{{}, busyOpen}, []Kind{Rollback, Check}, Answer{}, nil, false, false},
+		{"rollback that ran behind a repeated refusal", Open, false, []Command{rollback}, []Answer{busyOpen, {}}, []Kind{Rollback, Check}, Answer{}, nil, false, false},
 		{"rollback behind which the transaction is open", Open, false, []Command{rollback}, []Answer{{}, opened}, []Kind{Rollback, Check}, Answer{}, nil, false, false},
 		{"read at a server that repeats answers", Idle, true, []Command{read}, []Answer{busy}, []Kind{Read}, busy, nil, true, true},
 		{
--- a/internal/managedproxy/conn.go
+++ b/internal/managedproxy/conn.go
@@ -155,8 +155,8 @@
 	return answers[0], nil
 }
 
-// rollBack sends a rollback with checks behind it. If its success may be a repetition, the connection is closed, which rolls back
-// as well.
+// rollBack sends a rollback with checks behind it. If its answer may be a repetition, the connection is closed, which rolls back
+// as well, and the rollback counts as done.
 func (c *conn) rollBack(deadline time.Time, rollback Command) (Answer, error) {
 	answers, err := c.send(deadline, append([]Command{rollback}, c.checks(1)...)...)
 	if err != nil {
@@ -167,7 +167,11 @@
 		c.broken = c.broken || answer.Outcome != Done
 	}
 
-	c.broken = c.broken || c.state != answers[0].State
+	if c.broken || c.state != answers[0].State {
+		c.broken = true
+
+		return Answer{}, nil
+	}
 
 	return answers[0], nil
 }
