--- /dev/null
+++ b/review/standin-3/cases.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	vmCount = 3
+	// smallMemoryMB is the limit on the memory of a process of the small deployments, grownMemoryMB that of the grown ones.
+	smallMemoryMB = 284
+	grownMemoryMB = 184
+)
+
+// runFirstStart starts all VMs for the first time, the last one 0.3 s after the others. With trouble, one control process
+// is killed once, and the platform starts it again. The rule is broken if no request is served afterwards.
+func runFirstStart(record *recorder, trouble bool) (verdict, error) {
+	const (
+		lastStart    = 300 * time.Millisecond
+		killTime     = 200 * time.Millisecond
+		trafficStart = 10 * time.Second
+		trafficTime  = 60 * time.Second
+	)
+
+	d, err := newDeployment(record, vmCount, smallMemoryMB)
+	if err != nil {
+		return verdict{}, err
+	}
+
+	defer d.close()
+
+	began := time.Now()
+
+	var first *process
+
+	for vm := range vmCount {
+		if vm == vmCount-1 {
+			if trouble {
+				time.Sleep(time.Until(began.Add(killTime)))
+				record.add("kill control on VM 1")
+				first.signal(syscall.SIGKILL)
+			}
+
+			time.Sleep(time.Until(began.Add(lastStart)))
+		}
+
+		control, err := d.start(vm, roleControl)
+		if err != nil {
+			return verdict{}, err
+		}
+
+		if _, err := d.start(vm, roleProxy); err != nil {
+			return verdict{}, err
+		}
+
+		if vm == 0 {
+			first = control
+		}
+	}
+
+	if _, err := newDatabase(d, groupName); err != nil {
+		return verdict{}, err
+	}
+
+	end := began.Add(trafficStart + trafficTime)
+
+	var (
+		operating    sync.WaitGroup
+		acknowledged bool
+		refused      error
+	)
+
+	operating.Go(func() {
+		acknowledged, refused = newOperator(d).replace(1, 1, end)
+		record.add("configuration 1 acknowledged: %t", acknowledged)
+	})
+
+	time.Sleep(time.Until(began.Add(trafficStart)))
+
+	served, sent := 0, 0
+	for ; time.Now().Before(end); sent++ {
+		id := fmt.Sprintf("%016x", sent+1)
+		success, last := callOnce(d.address(sent%vmCount, portFront), id, "item")
+		record.add("client sends %s WRITE to VM %d: served=%t %q", id, sent%vmCount+1, success, last)
+
+		if success {
+			served++
+		}
+
+		time.Sleep(500 * time.Millisecond)
+	}
+
+	operating.Wait()
+
+	if refused != nil {
+		return verdict{}, refused
+	}
+
+	record.add("%d of %d requests were served; configuration acknowledged: %t", served, sent, acknowledged)
+
+	return verdict{broken: served == 0}, nil
+}
+
+// runMemory sends hundreds of configurations, one after the other. With trouble each of them has 3,840 routes, else 40. The rule
+// is broken if two of the three control processes exceed the memory limit three times.
+func runMemory(record *recorder, trouble bool) (verdict, error) {
+	const (
+		manyRoutes = 2 * 1920
+		fewRoutes  = 40
+		changes    = 700
+		changeTime = 105 * time.Second
+		checkEvery = 50 * time.Millisecond
+		brokenEnds = 3
+	)
+
+	d, err := newDeployment(record, vmCount, grownMemoryMB)
+	if err != nil {
+		return verdict{}, err
+	}
+
+	defer d.close()
+
+	var controls []*process
+
+	for vm := range vmCount {
+		control, err := d.start(vm, roleControl)
+		if err != nil {
+			return verdict{}, err
+		}
+
+		controls = append(controls, control)
+	}
+
+	exceeded := func() (processes int) {
+		for _, control := range controls {
+			control.mutex.Lock()
+			if control.overLimit >= brokenEnds {
+				processes++
+			}
+			control.mutex.Unlock()
+		}
+
+		return processes
+	}
+	done := make(chan struct{})
+
+	var watching sync.WaitGroup
+
+	for _, control := range controls {
+		watching.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				case <-time.After(checkEvery):
+					control.enforceMemoryLimit()
+				}
+			}
+		})
+	}
+
+	routes := fewRoutes
+	if trouble {
+		routes = manyRoutes
+	}
+
+	end := time.Now().Add(changeTime)
+	version := 1
+	client := newOperator(d)
+
+	for ; version <= changes && time.Now().Before(end) && 2*exceeded() < vmCount; version++ {
+		acknowledged, err := client.replace(version, routes, end)
+		if err != nil {
+			return verdict{}, err
+		}
+
+		if version%25 == 0 {
+			record.add("configuration %d with %d routes acknowledged: %t; memory of control: %d, %d and %d MiB", version, routes, acknowledged,
+				controls[0].memory()>>20, controls[1].memory()>>20, controls[2].memory()>>20)
+		}
+	}
+
+	close(done)
+	watching.Wait()
+
+	processes := exceeded()
+	record.add("%d configurations were sent; %d of %d control processes ended %d times or more because of their memory", version-1,
+		processes, vmCount, brokenEnds)
+
+	return verdict{broken: 2*processes > vmCount}, nil
+}
