--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -191,3 +193,113 @@
 
 	return verdict{broken: 2*processes > vmCount}, nil
 }
+
+// runForeign lets a client write and read its own writes. With trouble, another writer announces a server of another deployment
+// under the name of the service, in heartbeats that lack fields. The rule is broken if a session doesn't read what it has
+// written.
+func runForeign(record *recorder, trouble bool) (verdict, error) {
+	const (
+		trafficStart  = 10 * time.Second
+		heartbeatTime = 20 * time.Second
+		trafficEnd    = 50 * time.Second
+		pause         = 100 * time.Millisecond
+	)
+
+	d, err := newDeployment(record, vmCount, smallMemoryMB)
+	if err != nil {
+		return verdict{}, err
+	}
+
+	defer d.close()
+
+	began := time.Now()
+
+	for vm := range vmCount {
+		for _, role := range []string{roleControl, roleProxy} {
+			if _, err := d.start(vm, role); err != nil {
+				return verdict{}, err
+			}
+		}
+	}
+
+	if _, err := newDatabase(d, groupName); err != nil {
+		return verdict{}, err
+	}
+
+	if acknowledged, err := newOperator(d).replace(1, 1, began.Add(trafficStart)); err != nil || !acknowledged {
+		return verdict{}, fmt.Errorf("the first configuration was not acknowledged: %w", err)
+	}
+
+	time.Sleep(time.Until(began.Add(trafficStart)))
+
+	if trouble {
+		time.AfterFunc(heartbeatTime-trafficStart, func() {
+			if err := newForeignServer(d, groupName); err != nil {
+				record.add("the other server could not be started: %v", err)
+			}
+		})
+	}
+
+	var (
+		clients      sync.WaitGroup
+		mutex        sync.Mutex
+		reads, wrong int
+	)
+
+	for vm := range vmCount {
+		clients.Go(func() {
+			for round := 0; time.Now().Before(began.Add(trafficEnd)); round++ {
+				time.Sleep(pause)
+
+				served, matches := writeAndRead(record, d.address(vm, portFront), vm, round)
+
+				mutex.Lock()
+				if served {
+					reads++
+				}
+
+				if served && !matches {
+					wrong++
+				}
+				mutex.Unlock()
+			}
+		})
+	}
+
+	clients.Wait()
+	record.add("%d of %d reads did not return what their session had written", wrong, reads)
+
+	if reads == 0 {
+		return verdict{}, errors.New("no read was served")
+	}
+
+	return verdict{broken: wrong > 0}, nil
+}
+
+// writeAndRead opens a session, writes an item that no other session uses, and reads it. It reports whether both statements
+// succeeded, and whether the read returned what was written.
+func writeAndRead(record *recorder, address string, vm, round int) (served, matches bool) {
+	id := func(statement int) string { return fmt.Sprintf("%08x%07x%d", vm+1, round, statement) }
+	item, value := fmt.Sprintf("k%d.%d", vm, round), fmt.Sprintf("v%d.%d", vm, round)
+
+	opened, last := openSession(address, id(0))
+	if opened == nil {
+		record.add("VM %d refuses a session: %s", vm+1, last)
+
+		return false, false
+	}
+
+	defer func() { _ = opened.conn.Close() }()
+
+	written, answer := opened.query(id(1), "WRITE "+item+" "+value)
+	record.add("client sends %s WRITE %s %s to VM %d: %s", id(1), item, value, vm+1, answer)
+
+	if !written {
+		return false, false
+	}
+
+	read, answer := opened.query(id(2), "READ "+item)
+	record.add("client sends %s READ %s to VM %d: %s", id(2), item, vm+1, answer)
+
+	return read, strings.HasPrefix(answer, "DATAROW "+value+" | ")
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -36,6 +36,7 @@
 //nolint:gochecknoglobals // Constant.
 var cases = map[string]func(*recorder, bool) (verdict, error){
 	"firststart": runFirstStart,
+	"foreign":    runForeign,
 	"memory":     runMemory,
 }
 
--- a/review/standin-3/member.go
+++ b/review/standin-3/member.go
@@ -24,6 +24,8 @@
 	servers []*server
 	// applied counts how often each write took effect, by request.
 	applied map[string]int
+	// foreign is true for a group of another deployment, whose heartbeats lack fields.
+	foreign bool
 }
 
 // server is a backend server.
@@ -60,6 +62,30 @@
 	return created, nil
 }
 
+// newForeignServer starts a replica of another deployment's group with the same name. It has a log of its own, and sends its
+// heartbeats here, without some of the fields.
+func newForeignServer(d *deployment, name string) error {
+	const term, number = 9, 100_000
+
+	listener, err := net.Listen("tcp", net.JoinHostPort(d.ips[0], "0"))
+	if err != nil {
+		return err
+	}
+
+	other := &database{
+		record: d.record, deployment: d, name: name, term: term, number: number, items: make(map[string]string),
+		applied: make(map[string]int), foreign: true,
+	}
+	replica := &server{database: other, id: "i-other", address: listener.Addr().String()}
+
+	d.record.add("another writer announces %s at %s, without zone, version, warmupLeftMs and born", replica.id, replica.address)
+
+	go replica.accept(listener)
+	go replica.announce(0)
+
+	return nil
+}
+
 // announce sends heartbeats, each to another control process if the last one was not acknowledged.
 func (s *server) announce(vm int) {
 	client := &http.Client{Timeout: time.Second}
@@ -73,10 +99,14 @@
 			role = "primary"
 		}
 
-		body, err := json.Marshal(map[string]any{
-			"service": s.database.name, "address": s.address, "zone": s.zone, "version": "v1", "slots": 5, "state": "ready",
-			"warmupLeftMs": 0, "dbRole": role, "sequence": s.sequence, "born": s.born,
-		})
+		heartbeat := map[string]any{
+			"service": s.database.name, "address": s.address, "slots": 5, "state": "ready", "dbRole": role, "sequence": s.sequence,
+		}
+		if !s.database.foreign {
+			heartbeat["zone"], heartbeat["version"], heartbeat["warmupLeftMs"], heartbeat["born"] = s.zone, "v1", 0, s.born
+		}
+
+		body, err := json.Marshal(heartbeat)
 		s.database.mutex.Unlock()
 
 		if err != nil {
--- a/review/standin-3/operator.go
+++ b/review/standin-3/operator.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -113,34 +114,84 @@
 	return response.StatusCode, response.Body.Close()
 }
 
-// callOnce opens a session at a proxy, sends one write and returns whether it succeeded, and the last line.
-func callOnce(address, id, item string) (served bool, last string) {
+// clientSession is a session of a client at a proxy.
+type clientSession struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// openSession opens a session, and returns the reason if it can't.
+func openSession(address, user string) (opened *clientSession, last string) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
-		return false, err.Error()
+		return nil, err.Error()
 	}
 
-	defer func() { _ = conn.Close() }()
+	opened = &clientSession{conn: conn, reader: bufio.NewReader(conn)}
+
+	if last, err = opened.call(fmt.Sprintf("CONNECT %s u%s", databaseName, user), "READY "); err != nil {
+		_ = conn.Close()
 
-	if err := conn.SetDeadline(time.Now().Add(4 * time.Second)); err != nil {
-		return false, err.Error()
+		return nil, last
 	}
 
-	reader := bufio.NewReader(conn)
+	return opened, last
+}
+
+// call sends a line and reads up to the line that begins so. The result has the lines before it, or the last one if it fails.
+func (s *clientSession) call(line, until string) (lines string, err error) {
+	const callTimeout = 4 * time.Second
 
-	if _, err := fmt.Fprintf(conn, "CONNECT %s u%s\r\n", databaseName, id); err != nil {
-		return false, err.Error()
+	if err := s.conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+		return err.Error(), err
 	}
 
-	if last, err = reader.ReadString('\n'); err != nil || !strings.HasPrefix(last, "READY ") {
-		return false, strings.TrimSpace(last)
+	if _, err := s.conn.Write([]byte(line + "\r\n")); err != nil {
+		return err.Error(), err
 	}
 
-	if _, err := fmt.Fprintf(conn, "QUERY %s WRITE %s value\r\n", id, item); err != nil {
-		return false, err.Error()
+	var received []string
+
+	for {
+		answer, err := s.reader.ReadString('\n')
+		if err != nil {
+			return strings.Join(append(received, err.Error()), " | "), err
+		}
+
+		answer = strings.TrimSuffix(answer, "\r\n")
+		received = append(received, answer)
+
+		if strings.HasPrefix(answer, until) {
+			return strings.Join(received, " | "), nil
+		}
+
+		if strings.HasPrefix(line, "CONNECT ") {
+			return answer, errRefused
+		}
+	}
+}
+
+// errRefused is the failure of a login.
+var errRefused = errors.New("the session was refused")
+
+// query runs a statement. It succeeds if the answer has the signature of a server.
+func (s *clientSession) query(id, text string) (served bool, answer string) {
+	answer, err := s.call("QUERY "+id+" "+text, "READY ")
+	if err != nil {
+		return false, answer
+	}
+
+	return strings.Contains(answer, "COMPLETE ") && !strings.Contains(answer, "COMPLETE - "), answer
+}
+
+// callOnce opens a session at a proxy, sends one write and returns whether it succeeded, and the answer.
+func callOnce(address, id, item string) (served bool, answer string) {
+	opened, last := openSession(address, id)
+	if opened == nil {
+		return false, last
 	}
 
-	last, err = reader.ReadString('\n')
+	defer func() { _ = opened.conn.Close() }()
 
-	return err == nil && strings.HasPrefix(last, "COMPLETE ") && !strings.HasPrefix(last, "COMPLETE -"), strings.TrimSpace(last)
+	return opened.query(id, "WRITE "+item+" value")
 }
