--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -81,18 +81,7 @@
 
 	time.Sleep(time.Until(began.Add(trafficStart)))
 
-	served, sent := 0, 0
-	for ; time.Now().Before(end); sent++ {
-		id := fmt.Sprintf("%016x", sent+1)
-		success, last := callOnce(d.address(sent%vmCount, portFront), id, "item")
-		record.add("client sends %s WRITE to VM %d: served=%t %q", id, sent%vmCount+1, success, last)
-
-		if success {
-			served++
-		}
-
-		time.Sleep(500 * time.Millisecond)
-	}
+	served, sent := sendWrites(record, d, end)
 
 	operating.Wait()
 
@@ -303,3 +292,71 @@
 
 	return read, strings.HasPrefix(answer, "DATAROW "+value+" | ")
 }
+
+// runHidden lets a client write. With trouble, another writer sends one heartbeat for each server before that, which names
+// another service. The rule is broken if no request is served.
+func runHidden(record *recorder, trouble bool) (verdict, error) {
+	const (
+		heartbeatTime = 7 * time.Second
+		trafficStart  = 10 * time.Second
+		trafficEnd    = 60 * time.Second
+	)
+
+	d, err := newDeployment(record, vmCount, smallMemoryMB)
+	if err != nil {
+		return verdict{}, err
+	}
+
+	defer d.close()
+
+	began := time.Now()
+
+	for vm := range vmCount {
+		for _, role := range []string{roleControl, roleProxy} {
+			if _, err := d.start(vm, role); err != nil {
+				return verdict{}, err
+			}
+		}
+	}
+
+	group, err := newDatabase(d, groupName)
+	if err != nil {
+		return verdict{}, err
+	}
+
+	if acknowledged, err := newOperator(d).replace(1, 1, began.Add(heartbeatTime)); err != nil || !acknowledged {
+		return verdict{}, fmt.Errorf("the first configuration was not acknowledged: %w", err)
+	}
+
+	time.Sleep(time.Until(began.Add(heartbeatTime)))
+
+	if trouble {
+		if err := group.announceElsewhere(); err != nil {
+			return verdict{}, err
+		}
+	}
+
+	time.Sleep(time.Until(began.Add(trafficStart)))
+
+	served, sent := sendWrites(record, d, began.Add(trafficEnd))
+	record.add("%d of %d requests were served", served, sent)
+
+	return verdict{broken: served == 0}, nil
+}
+
+// sendWrites sends writes to the proxies in turn until the given time. It returns how many were served and sent.
+func sendWrites(record *recorder, d *deployment, end time.Time) (served, sent int) {
+	for ; time.Now().Before(end); sent++ {
+		id := fmt.Sprintf("%016x", sent+1)
+		success, last := callOnce(d.address(sent%vmCount, portFront), id, "item")
+		record.add("client sends %s WRITE to VM %d: served=%t %q", id, sent%vmCount+1, success, last)
+
+		if success {
+			served++
+		}
+
+		time.Sleep(500 * time.Millisecond)
+	}
+
+	return served, sent
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -37,6 +37,7 @@
 var cases = map[string]func(*recorder, bool) (verdict, error){
 	"firststart": runFirstStart,
 	"foreign":    runForeign,
+	"hidden":     runHidden,
 	"memory":     runMemory,
 }
 
--- a/review/standin-3/member.go
+++ b/review/standin-3/member.go
@@ -318,3 +318,35 @@
 
 	s.send("READY " + s.state + " " + s.position())
 }
+
+// announceElsewhere sends one heartbeat of another writer for each server of the group. It is complete, and names a service that
+// no configuration names.
+func (d *database) announceElsewhere() error {
+	const unnamed = "archive"
+
+	client := &http.Client{Timeout: time.Second}
+
+	for vm, named := range d.servers {
+		body, err := json.Marshal(map[string]any{
+			"service": unnamed, "address": net.JoinHostPort(d.deployment.ips[vm], "9"), "zone": named.zone, "version": "v1", "slots": 5,
+			"state": "ready", "warmupLeftMs": 0, "dbRole": "replica", "sequence": 1, "born": time.Now().UnixMilli(),
+		})
+		if err != nil {
+			return err
+		}
+
+		response, err := client.Post("http://"+d.deployment.address(vm, portControl)+"/v1/Instances.Heartbeat/"+named.id,
+			"application/json", strings.NewReader(string(body)))
+		if err != nil {
+			return err
+		}
+
+		d.record.add("another writer announces %s for service %s: %s", named.id, unnamed, response.Status)
+
+		if err := response.Body.Close(); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
