--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -94,7 +95,7 @@
 	return verdict{broken: served == 0}, nil
 }
 
-// runMemory sends hundreds of configurations, one after the other. With trouble each of them has 3,840 routes, else 40. The rule
+// runMemory lets two operators send hundreds of configurations, each one after the other. With trouble each of them has 3,840 routes, else 40. The rule
 // is broken if two of the three control processes exceed the memory limit three times.
 func runMemory(record *recorder, trouble bool) (verdict, error) {
 	const (
@@ -104,6 +105,8 @@
 		changeTime = 105 * time.Second
 		checkEvery = 50 * time.Millisecond
 		brokenEnds = 3
+		// operatorCount operators change the configuration at once.
+		operatorCount = 2
 	)
 
 	d, err := newDeployment(record, vmCount, grownMemoryMB)
@@ -158,27 +161,52 @@
 	}
 
 	end := time.Now().Add(changeTime)
-	version := 1
-	client := newOperator(d)
 
-	for ; version <= changes && time.Now().Before(end) && 2*exceeded() < vmCount; version++ {
-		acknowledged, err := client.replace(version, routes, end)
-		if err != nil {
-			return verdict{}, err
-		}
+	var (
+		version, acknowledged atomic.Int64
+		refused               atomic.Pointer[error]
+		operators             sync.WaitGroup
+	)
 
-		if version%25 == 0 {
-			record.add("configuration %d with %d routes acknowledged: %t; memory of control: %d, %d and %d MiB", version, routes, acknowledged,
-				controls[0].memory()>>20, controls[1].memory()>>20, controls[2].memory()>>20)
-		}
+	for range operatorCount {
+		client := newOperator(d)
+
+		operators.Go(func() {
+			for time.Now().Before(end) && 2*exceeded() < vmCount && refused.Load() == nil {
+				next := int(version.Add(1))
+				if next > changes {
+					return
+				}
+
+				success, err := client.replace(next, routes, end)
+				if err != nil {
+					refused.Store(&err)
+				}
+
+				if success {
+					acknowledged.Add(1)
+				}
+
+				if next%25 == 0 {
+					record.add("configuration %d with %d routes acknowledged: %t; memory of control: %d, %d and %d MiB", next, routes, success,
+						controls[0].memory()>>20, controls[1].memory()>>20, controls[2].memory()>>20)
+				}
+			}
+		})
 	}
 
+	operators.Wait()
+
 	close(done)
 	watching.Wait()
 
+	if err := refused.Load(); err != nil {
+		return verdict{}, *err
+	}
+
 	processes := exceeded()
-	record.add("%d configurations were sent; %d of %d control processes ended %d times or more because of their memory", version-1,
-		processes, vmCount, brokenEnds)
+	record.add("%d configurations were acknowledged; %d of %d control processes ended %d times or more because of their memory",
+		acknowledged.Load(), processes, vmCount, brokenEnds)
 
 	return verdict{broken: 2*processes > vmCount}, nil
 }
