Add review case 11: acknowledged commits are lost when a dark primary comes back before a promotion

Cause: in an unplanned takeover only the replicas that are known are paused. A replica that starts between that and the promotion receives for the former primary, which is never told to step down. Change: a script with syncReplicas 1; the primary is dark for 2.3 s, and a replica is replaced meanwhile.

The case of a kill at the first start is dropped, because case 10 shows it.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -35,10 +35,10 @@
 //
 //nolint:gochecknoglobals // Constant.
 var cases = map[string]func(*recorder, bool) (verdict, error){
-	"firststart": runFirstStart,
-	"foreign":    runForeign,
-	"hidden":     runHidden,
-	"memory":     runMemory,
+	"foreign": runForeign,
+	"hidden":  runHidden,
+	"lost":    runLost,
+	"memory":  runMemory,
 }
 
 func main() {
