--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -16,18 +16,14 @@
 	grownMemoryMB = 184
 )
 
-// runMemory lets two operators send hundreds of configurations, each one after the other. With trouble each of them has 3,840 routes, else 40. The rule
-// is broken if two of the three control processes exceed the memory limit three times.
+// runMemory lets two operators send hundreds of configurations, each one after the other. With trouble each of them has 3,840
+// routes, else 40. The rule is broken if two of the three control processes exceed the memory limit three times.
 func runMemory(record *recorder, trouble bool) (verdict, error) {
 	const (
 		manyRoutes = 2 * 1920
 		fewRoutes  = 40
-		changes    = 700
-		changeTime = 105 * time.Second
 		checkEvery = 50 * time.Millisecond
 		brokenEnds = 3
-		// operatorCount operators change the configuration at once.
-		operatorCount = 2
 	)
 
 	d, err := newDeployment(record, vmCount, grownMemoryMB)
@@ -48,17 +44,6 @@
 		controls = append(controls, control)
 	}
 
-	exceeded := func() (processes int) {
-		for _, control := range controls {
-			control.mutex.Lock()
-			if control.overLimit >= brokenEnds {
-				processes++
-			}
-			control.mutex.Unlock()
-		}
-
-		return processes
-	}
 	done := make(chan struct{})
 
 	var watching sync.WaitGroup
@@ -81,7 +66,45 @@
 		routes = manyRoutes
 	}
 
-	end := time.Now().Add(changeTime)
+	exceeded := func() int { return countExceeded(controls, brokenEnds) }
+	acknowledged, err := sendConfigurations(d, controls, routes, func() bool { return 2*exceeded() > vmCount })
+
+	close(done)
+	watching.Wait()
+
+	if err != nil {
+		return verdict{}, err
+	}
+
+	processes := exceeded()
+	record.add("%d configurations were acknowledged; %d of %d control processes ended %d times or more because of their memory",
+		acknowledged, processes, vmCount, brokenEnds)
+
+	return verdict{broken: 2*processes > vmCount}, nil
+}
+
+// countExceeded returns the number of processes that have exceeded their memory limit the given number of times.
+func countExceeded(controls []*process, times int) (processes int) {
+	for _, control := range controls {
+		control.mutex.Lock()
+		if control.overLimit >= times {
+			processes++
+		}
+		control.mutex.Unlock()
+	}
+
+	return processes
+}
+
+// sendConfigurations lets two operators send configurations until the time is over or stop returns true. It returns how many
+// were acknowledged.
+func sendConfigurations(d *deployment, controls []*process, routes int, stop func() bool) (int64, error) {
+	const (
+		operatorCount = 2
+		changes       = 700
+		changeTime    = 105 * time.Second
+		reportEvery   = 25
+	)
 
 	var (
 		version, acknowledged atomic.Int64
@@ -89,11 +112,13 @@
 		operators             sync.WaitGroup
 	)
 
+	end := time.Now().Add(changeTime)
+
 	for range operatorCount {
 		client := newOperator(d)
 
 		operators.Go(func() {
-			for time.Now().Before(end) && 2*exceeded() < vmCount && refused.Load() == nil {
+			for time.Now().Before(end) && !stop() && refused.Load() == nil {
 				next := int(version.Add(1))
 				if next > changes {
 					return
@@ -108,8 +133,8 @@
 					acknowledged.Add(1)
 				}
 
-				if next%25 == 0 {
-					record.add("configuration %d with %d routes acknowledged: %t; memory of control: %d, %d and %d MiB", next, routes, success,
+				if next%reportEvery == 0 {
+					d.record.add("configuration %d with %d routes acknowledged: %t; memory of control: %d, %d and %d MiB", next, routes, success,
 						controls[0].memory()>>20, controls[1].memory()>>20, controls[2].memory()>>20)
 				}
 			}
@@ -118,18 +143,11 @@
 
 	operators.Wait()
 
-	close(done)
-	watching.Wait()
-
 	if err := refused.Load(); err != nil {
-		return verdict{}, *err
+		return 0, *err
 	}
 
-	processes := exceeded()
-	record.add("%d configurations were acknowledged; %d of %d control processes ended %d times or more because of their memory",
-		acknowledged.Load(), processes, vmCount, brokenEnds)
-
-	return verdict{broken: 2*processes > vmCount}, nil
+	return acknowledged.Load(), nil
 }
 
 // runForeign lets a client write and read its own writes. With trouble, another writer announces a server of another deployment
--- a/review/standin-3/lost.go
+++ b/review/standin-3/lost.go
@@ -45,7 +45,7 @@
 	}
 
 	client := newOperator(d)
-	client.syncReplicas, client.timeoutMs, client.routeType = 1, 1000, "primary"
+	client.syncReplicas, client.timeoutMs, client.routeType = 1, 1000, rolePrimary
 
 	if acknowledged, err := client.replace(1, 1, began.Add(trafficStart)); err != nil || !acknowledged {
 		return verdict{}, fmt.Errorf("the first configuration was not acknowledged: %w", err)
--- a/review/standin-3/member.go
+++ b/review/standin-3/member.go
@@ -11,6 +11,14 @@
 	"time"
 )
 
+// Words of the protocols.
+const (
+	rolePrimary  = "primary"
+	roleReplica  = "replica"
+	codeReadOnly = "READONLY"
+	wordCommit   = "COMMIT"
+)
+
 // database is a group of backend servers that share a log. Its servers stand on one process and one address each.
 type database struct {
 	record     *recorder
@@ -94,9 +102,9 @@
 		s.database.mutex.Lock()
 		s.sequence++
 
-		role := "replica"
+		role := roleReplica
 		if s.primary {
-			role = "primary"
+			role = rolePrimary
 		}
 
 		heartbeat := map[string]any{
@@ -216,7 +224,7 @@
 	case "BEGIN":
 		s.readOnly, s.writes = arguments == "READ", nil
 		if !s.readOnly && !s.server.primary {
-			code = "READONLY"
+			code = codeReadOnly
 		} else {
 			s.state = "T"
 		}
@@ -232,9 +240,9 @@
 		s.prepared[name] = shape
 		s.answer("", "")
 	case "STATUS", "PAUSE", "STEPDOWN":
-		role := "replica"
+		role := roleReplica
 		if s.server.primary {
-			role = "primary"
+			role = rolePrimary
 		}
 
 		s.send(fmt.Sprintf("DATAROW %s %d %s 0 0 0 1", role, shared.term, s.position()))
@@ -268,7 +276,7 @@
 	case word == "READ":
 		s.send("DATAROW " + shared.items[item])
 	case !s.server.primary && (word == "WRITE" || len(s.writes) > 0):
-		s.answer("READONLY", "")
+		s.answer(codeReadOnly, "")
 
 		return
 	case word == "WRITE":
@@ -277,7 +285,7 @@
 		if s.state == "I" {
 			s.commit()
 		}
-	case word == "COMMIT":
+	case word == wordCommit:
 		s.state = "I"
 		s.commit()
 	default:
@@ -329,7 +337,7 @@
 	for vm, named := range d.servers {
 		body, err := json.Marshal(map[string]any{
 			"service": unnamed, "address": net.JoinHostPort(d.deployment.ips[vm], "9"), "zone": named.zone, "version": "v1", "slots": 5,
-			"state": "ready", "warmupLeftMs": 0, "dbRole": "replica", "sequence": 1, "born": time.Now().UnixMilli(),
+			"state": "ready", "warmupLeftMs": 0, "dbRole": roleReplica, "sequence": 1, "born": time.Now().UnixMilli(),
 		})
 		if err != nil {
 			return err
--- a/review/standin-3/synced.go
+++ b/review/standin-3/synced.go
@@ -246,9 +246,9 @@
 
 		s.sequence++
 
-		role := "replica"
+		role := roleReplica
 		if s.primary {
-			role = "primary"
+			role = rolePrimary
 		}
 
 		state := "ready"
@@ -372,7 +372,7 @@
 	switch word {
 	case "BEGIN":
 		if argument == "" && !s.server.primary {
-			return "READONLY", ""
+			return codeReadOnly, ""
 		}
 
 		s.state, s.writes, s.began = "T", nil, group.term
@@ -390,13 +390,13 @@
 		return "", s.sign()
 	case "WRITE":
 		if !s.server.primary {
-			return "READONLY", ""
+			return codeReadOnly, ""
 		}
 
 		s.writes = append(s.writes, id)
 
 		return "", s.sign()
-	case "COMMIT":
+	case wordCommit:
 		return s.commit()
 	default:
 		return "", unsigned
@@ -422,9 +422,9 @@
 		}
 	}
 
-	role := "replica"
+	role := roleReplica
 	if s.server.primary {
-		role = "primary"
+		role = rolePrimary
 	}
 
 	s.send(fmt.Sprintf("DATAROW %s %d %s %d 0 0 1", role, group.term, s.position(), s.server.paused))
@@ -442,7 +442,7 @@
 	}
 
 	if !s.server.primary || s.began != group.term {
-		return "READONLY", ""
+		return codeReadOnly, ""
 	}
 
 	group.log = append(group.log, s.writes...)
@@ -456,7 +456,7 @@
 	}
 
 	if !s.server.primary || s.began != group.term {
-		return "READONLY", ""
+		return codeReadOnly, ""
 	}
 
 	for _, write := range s.writes {
