Time review case 11 by the pause that control sends

Cause: control needs 1.5 to 2 s before it pauses the replicas, so that fixed times could miss the second that counts on a busy machine. Change: the new replica starts 0.25 s after the pause and the primary is back 0.15 s later.

--- a/review/standin-3/lost.go
+++ b/review/standin-3/lost.go
@@ -14,8 +14,10 @@
 	const (
 		trafficStart = 8 * time.Second
 		darkStart    = 15 * time.Second
-		darkTime     = 2300 * time.Millisecond
-		replicaStart = 2150 * time.Millisecond
+		// After the replicas were paused, which takes control 1.5 to 2 s, a new one starts and the primary is back.
+		longestWait  = 2400 * time.Millisecond
+		replicaDelay = 250 * time.Millisecond
+		lightDelay   = 150 * time.Millisecond
 		releaseDrain = time.Second
 		trafficEnd   = 28 * time.Second
 		arrival      = 70 * time.Millisecond
@@ -82,13 +84,19 @@
 	if trouble {
 		time.Sleep(time.Until(began.Add(darkStart)))
 		group.setDark(true)
-		time.Sleep(replicaStart)
+
+		select {
+		case <-group.firstPause:
+		case <-time.After(longestWait):
+		}
+
+		time.Sleep(replicaDelay)
 
 		if err := group.addServer(1, false); err != nil {
 			return verdict{}, err
 		}
 
-		time.Sleep(darkTime - replicaStart)
+		time.Sleep(lightDelay)
 		group.setDark(false)
 		time.Sleep(releaseDrain)
 		group.leave("i-2")
--- a/review/standin-3/synced.go
+++ b/review/standin-3/synced.go
@@ -36,6 +36,8 @@
 	// acknowledged are the writes whose commit a client was told of.
 	acknowledged map[string]bool
 	highestToken int
+	// firstPause is closed once a replica was paused.
+	firstPause chan struct{}
 	// lost are the acknowledged writes that a promoted server lacked.
 	lost int
 }
@@ -55,7 +57,7 @@
 }
 
 func newSyncedGroup(d *deployment) (*syncedGroup, error) {
-	created := &syncedGroup{record: d.record, deployment: d, term: 1, acknowledged: make(map[string]bool)}
+	created := &syncedGroup{record: d.record, deployment: d, term: 1, acknowledged: make(map[string]bool), firstPause: make(chan struct{})}
 	created.changed = sync.NewCond(&created.mutex)
 
 	listener, err := net.Listen("tcp", d.address(0, portCloud))
@@ -417,6 +419,12 @@
 		switch {
 		case word == "PAUSE" && !s.server.primary:
 			s.server.paused = term
+
+			select {
+			case <-group.firstPause:
+			default:
+				close(group.firstPause)
+			}
 		case word == "STEPDOWN" && s.server.primary:
 			s.server.primary = false
 		}
