--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -101,9 +101,11 @@
 func sendConfigurations(d *deployment, controls []*process, routes int, stop func() bool) (int64, error) {
 	const (
 		operatorCount = 2
-		changes       = 700
-		changeTime    = 105 * time.Second
-		reportEvery   = 25
+		// operatorGap is the least time between two changes of an operator, so that both together send one each 60 ms.
+		operatorGap = 120 * time.Millisecond
+		changes     = 700
+		changeTime  = 105 * time.Second
+		reportEvery = 25
 	)
 
 	var (
@@ -124,6 +126,7 @@
 					return
 				}
 
+				due := time.Now().Add(operatorGap)
 				success, err := client.replace(next, routes, end)
 				if err != nil {
 					refused.Store(&err)
@@ -137,6 +140,8 @@
 					d.record.add("configuration %d with %d routes acknowledged: %t; memory of control: %d, %d and %d MiB", next, routes, success,
 						controls[0].memory()>>20, controls[1].memory()>>20, controls[2].memory()>>20)
 				}
+
+				time.Sleep(time.Until(due))
 			}
 		})
 	}
