--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -188,7 +188,7 @@
 	}
 
 	if acknowledged, err := newOperator(d).replace(1, 1, began.Add(trafficStart)); err != nil || !acknowledged {
-		return verdict{}, fmt.Errorf("the first configuration was not acknowledged: %w", err)
+		return verdict{}, errors.Join(errNotAcknowledged, err)
 	}
 
 	time.Sleep(time.Until(began.Add(trafficStart)))
@@ -297,7 +297,7 @@
 	}
 
 	if acknowledged, err := newOperator(d).replace(1, 1, began.Add(heartbeatTime)); err != nil || !acknowledged {
-		return verdict{}, fmt.Errorf("the first configuration was not acknowledged: %w", err)
+		return verdict{}, errors.Join(errNotAcknowledged, err)
 	}
 
 	time.Sleep(time.Until(began.Add(heartbeatTime)))
--- a/review/standin-3/lost.go
+++ b/review/standin-3/lost.go
@@ -50,7 +50,7 @@
 	client.syncReplicas, client.timeoutMs, client.routeType = 1, 1000, rolePrimary
 
 	if acknowledged, err := client.replace(1, 1, began.Add(trafficStart)); err != nil || !acknowledged {
-		return verdict{}, fmt.Errorf("the first configuration was not acknowledged: %w", err)
+		return verdict{}, errors.Join(errNotAcknowledged, err)
 	}
 
 	time.Sleep(time.Until(began.Add(trafficStart)))
--- a/review/standin-3/operator.go
+++ b/review/standin-3/operator.go
@@ -176,6 +176,9 @@
 	}
 }
 
+// errNotAcknowledged means that a case could not begin.
+var errNotAcknowledged = errors.New("the first configuration was not acknowledged in time")
+
 // errRefused is the failure of a login.
 var errRefused = errors.New("the session was refused")
 
